--- /dev/null
+++ b/simhost/frame.cpp
@@ -0,0 +1,79 @@
+#include "frame.h"
+
+#include <bit>
+
+namespace cressrill::simhost {
+
+namespace {
+constexpr std::size_t kActionSize = 24;
+constexpr std::uint32_t kFrameLimit = 1u << 30;
+
+void append(std::string& to, std::uint64_t value, int width) {
+  for (int shift = (width - 1) * 8; shift >= 0; shift -= 8) to.push_back(static_cast<char>(value >> shift));
+}
+}  // namespace
+
+std::uint64_t Bytes::number(std::size_t at, int width) const {
+  if (at + static_cast<std::size_t>(width) > size_)
+    throw WireError(name_ + ": ends before byte " + std::to_string(at + static_cast<std::size_t>(width)));
+  std::uint64_t value = 0;
+  for (int i = 0; i < width; ++i) value = value << 8 | data_[at + static_cast<std::size_t>(i)];
+  return value;
+}
+
+double Bytes::f64(std::size_t at) const { return std::bit_cast<double>(number(at, 8)); }
+
+double Bytes::f32(std::size_t at) const {
+  return std::bit_cast<float>(static_cast<std::uint32_t>(number(at, 4)));
+}
+
+Bytes Bytes::part(std::uint64_t at, std::uint64_t size, const std::string& name) const {
+  if (at > size_ || size > size_ - at)
+    throw WireError(name + ": bytes " + std::to_string(at) + " to " + std::to_string(at + size) +
+                    " lie outside " + name_ + " of " + std::to_string(size_) + " bytes");
+  return {data_ + at, static_cast<std::size_t>(size), name};
+}
+
+bool read_frame(std::istream& in, std::vector<unsigned char>& frame) {
+  unsigned char head[4];
+  in.read(reinterpret_cast<char*>(head), 4);
+  if (in.gcount() == 0) return false;
+  if (in.gcount() < 4) throw WireError("batch length: input ends inside it");
+  const auto size = static_cast<std::uint32_t>(Bytes(head, 4, "batch length").number(0, 4));
+  if (size > kFrameLimit)
+    throw WireError("batch length: " + std::to_string(size) + " bytes is over the limit");
+  frame.resize(size);
+  in.read(reinterpret_cast<char*>(frame.data()), static_cast<std::streamsize>(size));
+  if (in.gcount() != static_cast<std::streamsize>(size))
+    throw WireError("batch: input ends after " + std::to_string(in.gcount()) + " of " + std::to_string(size) +
+                    " bytes");
+  return true;
+}
+
+void Reply::pad() { body_.resize(count_ * kActionSize, '\0'); }
+
+Reply& Reply::record(int code) {
+  pad();
+  ++count_;
+  return number(static_cast<std::uint64_t>(code), 2);
+}
+
+Reply& Reply::number(std::uint64_t value, int width) {
+  append(body_, value, width);
+  return *this;
+}
+
+Reply& Reply::f64(double value) { return number(std::bit_cast<std::uint64_t>(value), 8); }
+
+void Reply::write(std::ostream& out, std::uint32_t batch) {
+  pad();
+  std::string head;
+  append(head, body_.size() + 8, 4);
+  append(head, count_, 4);
+  append(head, batch, 4);
+  out << head << body_ << std::flush;
+  body_.clear();
+  count_ = 0;
+}
+
+}  // namespace cressrill::simhost
--- /dev/null
+++ b/simhost/host.cpp
@@ -0,0 +1,284 @@
+#include "host.h"
+
+#include <unordered_map>
+
+#include "policy.h"
+#include "profile.h"
+
+namespace cressrill::simhost {
+
+namespace {
+
+constexpr std::size_t kEventSize = 64;
+constexpr std::size_t kEntrySize = 22;
+constexpr std::size_t kHeadSize = 16;
+
+// Small indices for the ids of the wire. A freed index is handed out again, the lowest first to go last.
+template <class Id>
+class IdMap {
+ public:
+  int index(Id id) {
+    const auto [it, fresh] = index_.try_emplace(id, 0);
+    if (!fresh) return it->second;
+    if (free_.empty()) {
+      it->second = static_cast<int>(ids_.size());
+      ids_.push_back(id);
+    } else {
+      it->second = free_.back();
+      free_.pop_back();
+      ids_[static_cast<std::size_t>(it->second)] = id;
+    }
+    return it->second;
+  }
+  int find(Id id) const {
+    const auto it = index_.find(id);
+    return it == index_.end() ? -1 : it->second;
+  }
+  Id id(int index) const { return ids_[static_cast<std::size_t>(index)]; }
+  void forget(int index) {
+    if (index_.erase(id(index)) > 0) free_.push_back(index);
+  }
+
+ private:
+  std::unordered_map<Id, int> index_;
+  std::vector<Id> ids_;
+  std::vector<int> free_;
+};
+
+Outcome outcome_of(std::uint64_t code, std::uint64_t info) {
+  switch (code) {
+    case 100:
+      return Outcome::generated;
+    case 210:
+      return Outcome::read_done;
+    case 301:
+      return Outcome::error;
+    case 302:
+      return info == 1 ? Outcome::no_state : Outcome::full;
+    case 303:
+      return Outcome::timed_out;
+    case 304:
+      return Outcome::connect_failed;
+    case 305:
+      return Outcome::connection_lost;
+    case 306:
+      return Outcome::cancelled;
+    case 307:
+      return Outcome::not_sent;
+    default:
+      throw WireError("outcome: code " + std::to_string(code) + " is not known");
+  }
+}
+
+Standing standing_of(std::uint64_t code) {
+  switch (code) {
+    case 0:
+      return Standing::gone;
+    case 1:
+      return Standing::ready;
+    case 2:
+      return Standing::draining;
+    default:
+      throw WireError("list entry: state " + std::to_string(code) + " is not known");
+  }
+}
+
+}  // namespace
+
+// One instance: translates its events into calls and its decisions into records.
+class Router final : public Actions {
+ public:
+  Router(int number, Reply& reply, const Profile& profile, std::uint64_t seed, Nanos now)
+      : number_(number),
+        reply_(reply),
+        profile_(profile),
+        policy_(make_policy(profile.deployment, seed, now, *this)) {}
+
+  int number() const { return number_; }
+
+  void list(Nanos now, bool complete, const Bytes& entries) {
+    policy_->list_begins(now, complete);
+    for (std::size_t at = 0; at < entries.size(); at += kEntrySize) {
+      const Bytes entry = entries.part(at, kEntrySize, "list entry");
+      const auto kind = entry.number(17, 1);
+      if (kind >= profile_.deployment.kinds.size())
+        throw WireError("list entry: machine kind " + std::to_string(kind) + " is not in the settings");
+      policy_->worker_listed(workers_.index(static_cast<std::uint32_t>(entry.number(4, 4))),
+                             standing_of(entry.number(8, 1)), nanos(entry.f64(9)), static_cast<int>(kind),
+                             static_cast<int>(entry.number(18, 2)), static_cast<int>(entry.number(20, 2)));
+    }
+    policy_->list_ends();
+  }
+
+  void list_failed(Nanos now) { policy_->list_failed(now); }
+
+  void ask(Nanos now, const Bytes& event) {
+    const auto type = event.number(10, 2);
+    if (type >= profile_.deployment.types.size())
+      throw WireError("ask: class " + std::to_string(type) + " is not in the settings");
+    policy_->sequence_came(now, sequences_.index(event.number(2, 8)), static_cast<int>(type),
+                           static_cast<int>(event.number(12, 2)), event.number(14, 8), event.number(38, 8),
+                           event.f32(46), event.f32(50), event.f32(54), nanos(event.f64(22)));
+  }
+
+  void client_gone(Nanos now, const Bytes& event) {
+    const int seq = sequences_.find(event.number(2, 8));
+    if (seq >= 0) policy_->client_left(now, seq);
+  }
+
+  void head_received(Nanos now, const Bytes& event) {
+    const int seq = sequences_.find(event.number(2, 8));
+    if (seq >= 0)
+      policy_->stream_began(now, seq, static_cast<int>(event.number(14, 1)), nanos(event.f64(15)));
+  }
+
+  void ended(Nanos now, const Bytes& event) {
+    const int seq = sequences_.find(event.number(2, 8));
+    const Outcome outcome = outcome_of(event.number(15, 2), event.number(26, 4));
+    if (seq >= 0)
+      policy_->attempt_ended(now, seq, static_cast<int>(event.number(10, 1)), outcome, nanos(event.f64(17)),
+                             event.number(25, 1) != 0, static_cast<double>(event.number(26, 4)),
+                             report(event, 30));
+  }
+
+  void health(Nanos now, const Bytes& event) {
+    const int worker = workers_.find(static_cast<std::uint32_t>(event.number(2, 4)));
+    if (worker >= 0) policy_->probe_answered(now, worker, event.number(6, 2) == 100, report(event, 16));
+  }
+
+  void elapsed(Nanos now) { policy_->woke(now); }
+
+  void send(int seq, int worker, Nanos timeout) override {
+    record(16).number(sequences_.id(seq), 8).f64(millis(timeout)).number(workers_.id(worker), 4);
+  }
+  void let_go(int seq) override { record(9).number(sequences_.id(seq), 8); }
+  void cancel(int seq, int attempt) override {
+    record(1).number(sequences_.id(seq), 8).number(static_cast<std::uint64_t>(attempt), 1);
+  }
+  void reject(int seq, Nanos retry_after) override {
+    record(2).number(sequences_.id(seq), 8).f64(millis(retry_after));
+  }
+  void abort(int seq) override { record(3).number(sequences_.id(seq), 8); }
+  void move(int seq) override { record(6).number(sequences_.id(seq), 8); }
+  void probe(int worker) override { record(11).number(workers_.id(worker), 4); }
+  void subscribe() override { record(10).number(1, 1); }
+  void wake(Nanos after) override { record(15).number(0, 4).f64(millis(after)); }
+  void forget_sequence(int seq) override { sequences_.forget(seq); }
+  void forget_worker(int worker) override { workers_.forget(worker); }
+
+  // The next record needs a context first: another instance may have spoken since.
+  void heard_elsewhere() { in_context_ = false; }
+
+ private:
+  Reply& record(int code) {
+    if (!in_context_) reply_.record(4).number(static_cast<std::uint64_t>(number_), 2);
+    in_context_ = true;
+    return reply_.record(code);
+  }
+
+  Report report(const Bytes& event, std::size_t at) const {
+    const auto count = static_cast<int>(event.number(at, 1));
+    Report out;
+    out.heard = count > 0;
+    const auto column = [&](int i) { return event.f32(at + 1 + 4 * static_cast<std::size_t>(i)); };
+    if (profile_.sequences_column >= 0 && profile_.sequences_column < count)
+      out.sequences = column(profile_.sequences_column);
+    if (profile_.memory_column >= 0 && profile_.memory_column < count)
+      out.memory_share = column(profile_.memory_column);
+    return out;
+  }
+
+  int number_;
+  Reply& reply_;
+  Profile profile_;
+  IdMap<std::uint64_t> sequences_;
+  IdMap<std::uint32_t> workers_;
+  bool in_context_ = false;
+  std::unique_ptr<Policy> policy_;
+};
+
+Host::Host() = default;
+Host::~Host() = default;
+
+std::uint32_t Host::take(const std::vector<unsigned char>& frame, Reply& reply) {
+  const Bytes all(frame.data(), frame.size(), "batch");
+  const std::uint64_t count = all.number(0, 4);
+  const Nanos now = nanos(all.f64(4));
+  const auto batch = static_cast<std::uint32_t>(all.number(12, 4));
+  const Bytes records = all.part(kHeadSize, count * kEventSize, "records of the batch");
+  const Bytes tail = all.part(kHeadSize + records.size(), all.size() - kHeadSize - records.size(), "tail");
+  int at = -1;
+  for (std::uint64_t i = 0; i < count; ++i) {
+    const Bytes event = records.part(i * kEventSize, kEventSize, "record " + std::to_string(i));
+    const auto code = event.number(0, 2);
+    const auto it = routers_.find(at);
+    Router* router = it == routers_.end() ? nullptr : it->second.get();
+    const auto instance = [&]() -> Router& {
+      if (router == nullptr)
+        throw WireError("record " + std::to_string(i) + ": event " + std::to_string(code) + " for instance " +
+                        std::to_string(at) + ", which is not running");
+      return *router;
+    };
+    switch (code) {
+      case 11:
+        at = static_cast<int>(event.number(2, 2));
+        for (auto& [number, other] : routers_) other->heard_elsewhere();
+        break;
+      case 4: {
+        const Bytes list = tail.part(event.number(3, 4), event.number(7, 4) * kEntrySize, "manifest");
+        const std::string_view text = list.text();
+        lists_[static_cast<int>(event.number(2, 1))].assign(text.begin(), text.end());
+        break;
+      }
+      case 6: {
+        if (at < 0) throw WireError("record " + std::to_string(i) + ": power_on before any at");
+        const Bytes text = tail.part(event.number(10, 4), event.number(14, 4), "settings");
+        routers_[at] =
+            std::make_unique<Router>(at, reply, decode_profile(text.text()), event.number(2, 8), now);
+        break;
+      }
+      case 7: {
+        const auto scope = event.number(2, 1);
+        if (scope > 3) throw WireError("fleet: scope " + std::to_string(scope) + " is not known");
+        if (scope == 3) {
+          instance().list_failed(now);
+          break;
+        }
+        const auto list = lists_.find(static_cast<int>(event.number(11, 1)));
+        if (list == lists_.end()) throw WireError("fleet: its list has not been sent");
+        instance().list(now, scope != 0, Bytes(list->second.data(), list->second.size(), "manifest"));
+        break;
+      }
+      case 8:
+        instance().ask(now, event);
+        break;
+      case 9:
+        instance().client_gone(now, event);
+        break;
+      case 10:
+        instance().elapsed(now);
+        break;
+      case 5:
+        instance().head_received(now, event);
+        break;
+      case 2:
+        routers_.erase(at);
+        break;
+      case 3:
+        instance().ended(now, event);
+        break;
+      case 1:
+        instance().health(now, event);
+        break;
+      case 12:  // answers to places held ahead and messages of other routers: neither is ever asked for
+      case 13:
+        break;
+      default:
+        throw WireError("record " + std::to_string(i) + ": event code " + std::to_string(code) +
+                        " is not known");
+    }
+  }
+  return batch;
+}
+
+}  // namespace cressrill::simhost
--- /dev/null
+++ b/src/policy.cpp
@@ -0,0 +1,712 @@
+// The decisions of cressrill, all of them. A host makes one Policy for each router by make_policy() and calls
+// it once for every input; decisions come back through Actions before the call returns. Both interfaces stand
+// in policy.h, the plain state in state.h, what is read at start in deployment.h.
+//
+// After every input the two rule lists below are gone through in order until none fires. DESIGN: ordinary
+// path as in docs/design.md; everything else here guards it.
+#include "policy.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <tuple>
+
+namespace cressrill {
+namespace {
+
+constexpr Nanos kMs = 1'000'000;
+constexpr Nanos kSecond = 1'000 * kMs;
+constexpr Nanos kPulse = 10 * kMs;        // rules that wait for a time are looked at this often
+constexpr Nanos kKeptFor = 60 * kSecond;  // a holder entry lapses: about a session's life
+constexpr Nanos kMemory =
+    10 * kSecond;  // decay of learned rates: long against a read, short against a trouble
+constexpr Nanos kReportLife = 3 * kSecond;  // an older load report says no more than the average
+constexpr double kFirstRate = 10'000;   // tokens read a second, until answers tell: outweighed by one read
+constexpr double kPriorTokens = 4'000;  // a worker's own rate counts fully once it has read some prompts
+constexpr double kNear = 0.1;           // holders tie within this share of the read's time
+constexpr double kTieBand = 0.1;        // writers tie within this share of their memory
+constexpr double kRoom = 0.92;          // fuller writers push their newest answers back into the queue
+constexpr double kOthersRead = 0.5;  // of what others hold at a reader, half is read and waits for its fetch
+constexpr double kSmooth = 0.1;      // weight of a new sample in a smoothed wait
+constexpr double kLate = 3;          // an attempt is late past this multiple of what it should take,
+constexpr Nanos kGrace = 250 * kMs;  // and this much: a pause, a lost packet, a handshake
+constexpr Nanos kFullRest = 150 * kMs;  // a worker that said full is let be: about one answer's end
+constexpr double kStrikesOut = 2;       // failures less than one success apart
+constexpr Nanos kAside = 2 * kSecond;   // time set aside, plus a random part up to
+constexpr Nanos kAsideSpread = kSecond;
+constexpr double kFirstLimit = 8;  // in flight before the first token, per router; grows by one
+constexpr double kLeastLimit = 2;
+constexpr double kCut = 0.7;  // and is cut by a share, at most once in
+constexpr Nanos kCutEvery = 500 * kMs;
+constexpr double kPatience = 0.4;  // share of the latency SLO that a sequence may wait in line
+constexpr double kColdCare = 0.5;  // share of the cold budget that is used: others guess too
+constexpr double kShareBurst = 2;  // seconds of a tenant's share that may come at once
+
+double seconds(Nanos t) { return static_cast<double>(t) / static_cast<double>(kSecond); }
+Nanos nanos(double s) { return static_cast<Nanos>(s * static_cast<double>(kSecond)); }
+double decay(Nanos since) { return std::exp(-seconds(since) / seconds(kMemory)); }
+void smooth(double& value, double sample) { value += kSmooth * (sample - value); }
+
+class Router final : public Policy {
+ public:
+  Router(const Deployment& deployment, std::uint64_t seed, Nanos now, Actions& actions)
+      : d_(deployment), out_(actions), now_(now) {
+    s_.chance_step = seed << 1 | 1;
+    s_.chance = seed;
+    s_.limit = kFirstLimit;
+    s_.read_tokens = kPriorTokens;
+    s_.first_wait = seconds(kGrace);
+    s_.read_wait = seconds(kGrace);
+    s_.tenant_credit.assign(d_.tenant_rates.size(), 0);
+    s_.tenant_credit_at = now - nanos(kShareBurst);
+    s_.list_asked = now;
+    if (d_.asks_for_list) out_.subscribe();
+  }
+
+  void list_begins(Nanos now, bool complete) override {
+    now_ = now;
+    if (complete)
+      for (Worker& w : s_.workers) w.standing = Standing::gone;
+  }
+
+  void worker_listed(int worker, Standing standing, Nanos started, int kind, int zone, int cell) override {
+    if (worker >= static_cast<int>(s_.workers.size()))
+      s_.workers.resize(static_cast<std::size_t>(worker) + 1);
+    Worker& w = at(worker);
+    if (!w.known) {
+      w = Worker{};
+      w.known = true;
+      w.down_since = w.cold_since = kNever;
+      w.started = started;
+      if (started > 0) w.cold_since = started;
+    } else if (started > w.started) {  // restarted: empty, cold, and whatever ailed it is gone
+      w.started = w.void_before = started;
+      if (w.cold_since == kNever || w.cold_since < started) w.cold_since = started;
+      if (w.aside_until > now_) w.aside_until = now_;
+      w.memory_share = w.sequences = -1;
+    }
+    w.standing = standing;
+    w.kind = kind;
+    w.role = d_.kinds[static_cast<std::size_t>(kind)].role;
+    w.zone = zone;
+    w.cell = cell;
+  }
+
+  void list_ends() override { run(); }
+
+  void list_failed(Nanos now) override {
+    now_ = now;
+    if (d_.asks_for_list) out_.subscribe();
+    s_.list_asked = now;
+  }
+
+  void sequence_came(Nanos now, int seq, int type, int tenant, std::uint64_t session, std::uint64_t beginning,
+                     double prompt, double beginning_tokens, double max_out, Nanos abandon_at) override {
+    now_ = now;
+    if (seq >= static_cast<int>(s_.sequences.size())) s_.sequences.resize(static_cast<std::size_t>(seq) + 1);
+    Sequence& q = s_.sequences[static_cast<std::size_t>(seq)];
+    const TrafficType& t = d_.types[static_cast<std::size_t>(type)];
+    q = Sequence{};
+    q.id = seq;
+    q.type = type;
+    q.in_share = take_share(tenant);
+    q.session = session;
+    q.beginning = beginning;
+    q.prompt = prompt;
+    q.beginning_tokens = beginning_tokens;
+    q.max_out = max_out;
+    q.came = now;
+    q.slo_at = now + t.slo + static_cast<Nanos>(prompt / 1000 * static_cast<double>(t.slo_per_1000));
+    q.abandon_at = abandon_at;
+    q.pinned_since = kNever;
+    s_.live.push_back(seq);
+    run();
+  }
+
+  void client_left(Nanos now, int seq) override {
+    now_ = now;
+    finish(sequence(seq));
+    run();
+  }
+
+  void stream_began(Nanos now, int seq, int attempt, Nanos took) override {
+    now_ = now;
+    Sequence& q = sequence(seq);
+    Attempt& a = q.attempts[static_cast<std::size_t>(attempt)];
+    Worker& w = at(a.worker);
+    --w.pending;
+    a.begun = true;
+    answered(w);
+    state_gone(q);
+    smooth(s_.first_wait, seconds(took));
+    if (q.stage == Stage::over) return run();
+    if (in_flight() * 2 >= s_.limit && now < q.slo_at)
+      s_.limit += 1 / s_.limit;  // one for each limit's worth
+    q.stage = Stage::streaming;
+    run();
+  }
+
+  void attempt_ended(Nanos now, int seq, int attempt, Outcome outcome, Nanos took, bool closed, double kept,
+                     const Report& report) override {
+    now_ = now;
+    Sequence& q = sequence(seq);
+    Attempt& a = q.attempts[static_cast<std::size_t>(attempt)];
+    Worker& w = at(a.worker);
+    a.out = false;
+    --w.out;
+    if (!a.begun) --w.pending;
+    if (a.reads) {
+      w.read_tokens = std::max(0.0, w.read_tokens - a.tokens);
+    } else {
+      w.stream_tokens = std::max(0.0, w.stream_tokens - a.tokens);
+    }
+    const bool silent = w.heard < a.sent;
+    if (report.heard) note_report(w, report);
+    judge(w, outcome, silent, a.given_up);
+    if (outcome == Outcome::read_done) read_ended(q, a, w, took, kept);
+    if (!a.reads && (outcome == Outcome::error || outcome == Outcome::timed_out ||
+                     outcome == Outcome::connection_lost || outcome == Outcome::cancelled))
+      q.maybe_ran = true;
+    if (outcome == Outcome::full || (outcome == Outcome::timed_out && !silent)) cut_limit();
+    if (closed) finish(q);
+    if (q.stage != Stage::over && !a.given_up) go_back(q, a, outcome);
+    if (q.pinned_since != kNever) q.pinned_since = now;
+    run();
+  }
+
+  void probe_answered(Nanos now, int worker, bool passed, const Report& report) override {
+    now_ = now;
+    Worker& w = at(worker);
+    w.probe_out = false;
+    if (report.heard) note_report(w, report);
+    if (passed) answered(w);
+    run();
+  }
+
+  void woke(Nanos now) override {
+    now_ = now;
+    run();
+  }
+
+ private:
+  template <class Subject>
+  struct Rule {
+    bool (Router::*when)(const Subject&) const;
+    void (Router::*then)(Subject&);
+  };
+
+  void run() {
+    static constexpr std::array<Rule<Worker>, 2> worker_rules{{
+        {&Router::fell_silent, &Router::set_aside_and_leave},
+        {&Router::struck_out, &Router::set_aside},
+    }};
+    static constexpr std::array<Rule<Sequence>, 8> sequence_rules{{
+        {&Router::still_asked, &Router::stop_asking},
+        {&Router::done_with, &Router::forget},
+        {&Router::nearly_abandoned, &Router::give_up},
+        {&Router::nearly_overdue, &Router::give_up},
+        {&Router::hopeless, &Router::give_up},
+        {&Router::ready_to_write, &Router::write},
+        {&Router::ready_to_read, &Router::read},
+        {&Router::too_long_in_line, &Router::give_up},
+    }};
+    for (bool fired = true; fired;) {
+      fired = false;
+      for (const Rule<Worker>& rule : worker_rules)
+        for (Worker& w : s_.workers)
+          if (w.known && (this->*rule.when)(w)) (this->*rule.then)(w), fired = true;
+      for (const Rule<Sequence>& rule : sequence_rules)
+        for (std::size_t i = 0; i < s_.live.size(); ++i) {
+          Sequence& q = sequence(s_.live[i]);
+          if ((this->*rule.when)(q)) (this->*rule.then)(q), fired = true;
+        }
+    }
+    if (d_.asks_for_list && now_ - s_.list_asked > d_.must_ask_in / 2) {
+      out_.subscribe();
+      s_.list_asked = now_;
+    }
+    if (!s_.live.empty() && s_.woken_at <= now_) {
+      s_.woken_at = now_ + kPulse;
+      out_.wake(kPulse);
+    }
+    sweep_holders();
+  }
+
+  // Workers: what ails them.
+
+  // Guards against machines that vanish or hang and against cut links: attempts are overdue and the worker
+  // has said nothing since they were sent. Can harm a lone worker in one long step; it is back after its time
+  // aside.
+  bool fell_silent(const Worker& w) const {
+    if (w.pending == 0 || w.aside_until > now_) return false;
+    for (const int id : s_.live)
+      for (const Attempt& a : sequence(id).attempts)
+        if (a.out && !a.given_up && &at(a.worker) == &w && w.heard < a.sent && !a.begun &&
+            now_ - a.sent > kGrace + nanos(kLate * seconds(a.expected)))
+          return true;
+    return false;
+  }
+  void set_aside_and_leave(Worker& w) {
+    set_aside(w);
+    if (w.down_since == kNever) w.down_since = now_;
+    for (const int id : s_.live) {
+      Sequence& q = sequence(id);
+      for (Attempt& a : q.attempts)
+        if (a.out && !a.given_up && &at(a.worker) == &w && !a.begun && q.stage != Stage::over) {
+          leave(q, a);
+          go_back(q, a, Outcome::timed_out);
+        }
+    }
+  }
+
+  // Guards against workers that fail fast: errors, broken connections, refusals to connect.
+  bool struck_out(const Worker& w) const { return w.strikes >= kStrikesOut && w.aside_until <= now_; }
+  void set_aside(Worker& w) {
+    w.aside_until = now_ + kAside + nanos(seconds(kAsideSpread) * chance());
+    w.on_trial = true;
+    w.strikes = 0;
+  }
+
+  bool cold(const Worker& w) const { return w.cold_since != kNever && now_ < w.cold_since + d_.ramp_time; }
+
+  void judge(Worker& w, Outcome outcome, bool silent, bool given_up) {
+    const bool lost = outcome == Outcome::connection_lost || outcome == Outcome::connect_failed;
+    if (outcome == Outcome::full) w.full_until = now_ + kFullRest;
+    if (outcome == Outcome::full || outcome == Outcome::no_state || outcome == Outcome::error) w.heard = now_;
+    if (outcome == Outcome::generated || outcome == Outcome::read_done) answered(w);
+    if (outcome == Outcome::error) w.strikes += w.on_trial ? kStrikesOut : 1;
+    if (outcome == Outcome::timed_out && (silent || w.on_trial)) w.strikes += kStrikesOut;
+    if (lost && w.down_since == kNever) w.down_since = now_;
+    if (lost && !given_up) w.strikes += kStrikesOut;
+  }
+
+  void answered(Worker& w) {
+    w.heard = now_;
+    w.strikes /= 2;
+    w.on_trial = false;
+    if (w.aside_until > now_) w.aside_until = now_;
+    // Guards rule 4 where the list is late: what was down and answers again has just started.
+    if (w.down_since != kNever) w.cold_since = w.void_before = now_;
+    w.down_since = kNever;
+  }
+
+  void note_report(Worker& w, const Report& report) {
+    w.reported = now_;
+    w.sequences = report.sequences;
+    w.memory_share = report.memory_share;
+    w.own_at_report = w.pending + w.states;
+    w.since_report = 0;
+  }
+
+  // A cold worker's share of what a warm one of its role gets, by the slowest climb the settings allow.
+  double cold_share(const Worker& w) const {
+    const double climbed = std::clamp(seconds(now_ - w.cold_since) / seconds(d_.ramp_time), 0.0, 1.0);
+    const double capacity = d_.cold_from + (1 - d_.cold_from) * climbed * climbed;
+    return std::min(1.0, kColdCare * d_.fall_multiple * capacity);
+  }
+  double cold_credit(const Worker& w) const {
+    int peers = 0;
+    for (const Worker& other : s_.workers)
+      if (listed(other) && other.role == w.role && !cold(other)) ++peers;
+    const double per_peer = s_.sends[w.role == Role::reader] / seconds(kMemory) / std::max(1, peers);
+    const double rate = std::max(cold_share(w) * per_peer, d_.cold_from / seconds(d_.fall_span));
+    return std::min(2.0, w.cold_credit + rate * seconds(now_ - std::max(w.cold_credit_at, w.cold_since)));
+  }
+
+  // Sequences: the ordinary path and its ends.
+
+  bool still_asked(const Sequence& q) const {
+    if (q.stage != Stage::over && q.stage != Stage::streaming) return false;
+    return std::any_of(q.attempts.begin(), q.attempts.end(),
+                       [&](const Attempt& a) { return a.out && !a.given_up && !a.begun; });
+  }
+  void stop_asking(Sequence& q) {
+    for (Attempt& a : q.attempts)
+      if (a.out && !a.given_up && !a.begun) leave(q, a);
+  }
+  void leave(Sequence& q, Attempt& a) {
+    a.given_up = true;
+    if (q.pinned_since != kNever) q.pinned_since = now_;
+    if (d_.cancelling) out_.cancel(q.id, static_cast<int>(&a - q.attempts.data()));
+  }
+
+  bool done_with(const Sequence& q) const {
+    return q.stage == Stage::over &&
+           std::none_of(q.attempts.begin(), q.attempts.end(), [](const Attempt& a) { return a.out; });
+  }
+  void forget(Sequence& q) {
+    const auto left = [](const Attempt& a) { return a.given_up; };
+    if (std::any_of(q.attempts.begin(), q.attempts.end(), left))
+      out_.let_go(q.id);  // it may have come too late
+    state_gone(q);
+    s_.live.erase(std::find(s_.live.begin(), s_.live.end(), q.id));
+    out_.forget_sequence(q.id);
+  }
+
+  // Rule 1: the last moment at which an answer is surely in time.
+  bool nearly_abandoned(const Sequence& q) const {
+    return open(q) && now_ >= q.abandon_at - 2 * d_.tick - kPulse;
+  }
+  // Rule 5, with half the limit as margin: no writer took the state.
+  bool nearly_overdue(const Sequence& q) const {
+    return q.stage == Stage::read && now_ - q.pinned_since >= d_.pin_limit / 2;
+  }
+  // No attempt left, or too little time even for what usually takes longest at the coming stage.
+  bool hopeless(const Sequence& q) const {
+    if (q.stage != Stage::waiting && q.stage != Stage::read) return false;
+    const int needed = q.stage == Stage::waiting && has_readers() ? 2 : 1;
+    return static_cast<int>(q.attempts.size()) + needed > d_.attempts_cap ||
+           (q.maybe_ran && !may_write_again(q)) || now_ + usual(q) > q.abandon_at;
+  }
+  bool too_long_in_line(const Sequence& q) const {
+    return q.stage == Stage::waiting &&
+           static_cast<double>(now_ - q.came) > kPatience * static_cast<double>(q.slo_at - q.came) &&
+           (q.attempts.empty() || now_ > q.slo_at);
+  }
+  Nanos usual(const Sequence& q) const {
+    return nanos(s_.first_wait + (q.stage == Stage::waiting ? s_.read_wait : 0));
+  }
+
+  void give_up(Sequence& q) {
+    const TrafficType& t = type(q);
+    const bool may_reject = t.effect == Effect::repeatable || !may_have_run(q) ||
+                            (t.effect == Effect::tokened && t.group == Group::all);
+    if (may_reject) {
+      const double part = 0.5 + 0.5 * chance();
+      out_.reject(q.id, d_.retry_after ? nanos(seconds(d_.max_retry_after) * part) : 0);
+    } else {
+      out_.abort(q.id);
+    }
+    finish(q);
+  }
+  void finish(Sequence& q) {
+    if (q.pinned_since != kNever) out_.let_go(q.id);
+    state_gone(q);
+    q.stage = Stage::over;
+  }
+  void state_gone(Sequence& q) {
+    if (q.pinned_since != kNever) --at(q.reader).states;
+    q.pinned_since = kNever;
+  }
+
+  // After an attempt that brought nothing: back to the line, or to the choice of a writer while the state
+  // waits.
+  void go_back(Sequence& q, const Attempt& a, Outcome outcome) {
+    if (outcome == Outcome::read_done || outcome == Outcome::generated) return;
+    if (a.reads || outcome == Outcome::no_state || q.pinned_since == kNever) {
+      state_gone(q);
+      q.stage = Stage::waiting;
+    } else {
+      q.stage = Stage::read;
+    }
+  }
+
+  void read_ended(Sequence& q, const Attempt& a, Worker& w, Nanos took, double kept) {
+    const double read = std::max(1.0, q.prompt - kept);
+    learn(w.rate_tokens, w.rate_time, w.rate_at, a.ahead + read, took);
+    learn(s_.rate_tokens, s_.rate_time, s_.rate_at, a.ahead + read, took);
+    smooth(s_.read_tokens, read);
+    smooth(s_.read_wait, seconds(took));
+    // Guards against leads that are gone (a flush, a restart that no one told): the whole worker is
+    // disbelieved.
+    if (kept < a.promised / 2) w.void_before = now_;
+    hold(q.session, a.worker, q.prompt);
+    hold(q.beginning, a.worker, q.beginning_tokens);
+    if (q.stage != Stage::reading || a.given_up) return;
+    q.stage = Stage::read;
+    q.reader = a.worker;
+    q.pinned_since = now_;
+    ++w.states;
+  }
+  void learn(double& tokens, double& time, Nanos& last, double read, Nanos took) {
+    const double keep = decay(now_ - last);
+    tokens = tokens * keep + read;
+    time = time * keep + seconds(took);
+    last = now_;
+  }
+
+  // The read: DESIGN's load pick and the holder's lead against it.
+
+  bool ready_to_read(const Sequence& q) const {
+    if (q.stage != Stage::waiting || in_flight() >= s_.limit || !has_room(q)) return false;
+    for (const int id : s_.live)
+      if (sequence(id).stage == Stage::waiting && before(sequence(id), q)) return false;
+    const bool reads = has_readers();
+    return std::any_of(s_.workers.begin(), s_.workers.end(),
+                       [&](const Worker& w) { return serves(w, reads) && may_send(q, w, reads); });
+  }
+  bool before(const Sequence& a, const Sequence& b) const {
+    if (a.in_share != b.in_share) return a.in_share;
+    return a.slo_at != b.slo_at ? a.slo_at < b.slo_at : a.id < b.id;
+  }
+  void read(Sequence& q) {
+    if (!has_readers()) return write(q);  // mixed workers, or writers that read: one attempt does both
+    std::vector<int> usable;
+    for (int w = 0; w < static_cast<int>(s_.workers.size()); ++w)
+      if (serves(at(w), true) && may_send(q, at(w), true)) usable.push_back(w);
+    const auto load = [&](int w) { return wait(at(w)) + s_.read_tokens / rate(at(w)) + far(at(w)); };
+    const int by_load = sample(
+        usable, [&](int w) { return -load(w); }, kNear * s_.read_tokens / rate());
+    const double base = load(by_load), lead_of_base = kept(q, by_load);
+    std::vector<int> holders;
+    const auto gain = [&](int w) { return (kept(q, w) - lead_of_base) / rate(at(w)) - (load(w) - base); };
+    for (const int w : usable)
+      if (gain(w) > 0) holders.push_back(w);
+    const int reader = holders.empty() ? by_load : sample(holders, gain, kNear * q.prompt / rate());
+    q.reader = reader;
+    q.stage = Stage::reading;
+    send(q, reader, true);
+  }
+  // Among those within a margin of the best, by chance with weight 1 / (waiting + 1).
+  template <class Score>
+  int sample(const std::vector<int>& from, Score score, double margin) {
+    double best = -1e18, total = 0;
+    for (const int w : from) best = std::max(best, score(w));
+    std::vector<int> near;
+    for (const int w : from)
+      if (score(w) >= best - margin) near.push_back(w);
+    for (const int w : near) total += 1 / (waiting(at(w)) + 1);
+    double left = chance() * total;
+    for (const int w : near)
+      if ((left -= 1 / (waiting(at(w)) + 1)) <= 0) return w;
+    return near.back();
+  }
+  double rate() const {
+    return (s_.rate_tokens + kPriorTokens / 4) / (s_.rate_time + kPriorTokens / 4 / kFirstRate);
+  }
+  double rate(const Worker& w) const {
+    const double keep = decay(now_ - w.rate_at);
+    return (w.rate_tokens * keep + kPriorTokens) / (w.rate_time * keep + kPriorTokens / rate());
+  }
+  // What others hold at a reader, by its report; an unheard one is as the average.
+  double others(const Worker& w) const {
+    const auto heard = [&](const Worker& x) { return x.sequences >= 0 && now_ - x.reported < kReportLife; };
+    const auto count = [](const Worker& x) { return std::max(0.0, x.sequences - x.own_at_report); };
+    if (heard(w)) return count(w);
+    double total = 0;
+    int readers = 0;
+    for (const Worker& x : s_.workers)
+      if (listed(x) && x.role == w.role && heard(x)) total += count(x), ++readers;
+    return readers > 0 ? total / readers : 0;
+  }
+  double waiting(const Worker& w) const { return w.pending + kOthersRead * others(w); }
+  double wait(const Worker& w) const {
+    return (w.read_tokens + kOthersRead * others(w) * s_.read_tokens) / rate(w);
+  }
+  // Crossing zones costs a share of the utility: as much as so much waiting.
+  double far(const Worker& w) const {
+    return w.zone == d_.zone ? 0 : d_.cross_zone_price + kNear * s_.read_tokens / rate();
+  }
+
+  // The write: DESIGN's pick by memory, after the read, with its tie order.
+
+  bool ready_to_write(const Sequence& q) const {
+    return q.stage == Stage::read && std::any_of(s_.workers.begin(), s_.workers.end(), [&](const Worker& w) {
+             return serves(w, false) && may_send(q, w, false);
+           });
+  }
+  void write(Sequence& q) {
+    std::vector<int> usable;
+    for (int w = 0; w < static_cast<int>(s_.workers.size()); ++w)
+      if (serves(at(w), false) && may_send(q, at(w), false)) usable.push_back(w);
+    double best = 1e18;
+    for (const int w : usable) best = std::min(best, fullness(at(w)));
+    const int cell = q.reader < 0 ? -1 : at(q.reader).cell, zone = q.reader < 0 ? d_.zone : at(q.reader).zone;
+    const auto order = [&](int w) {
+      const Worker& x = at(w);
+      return std::tuple(fullness(x) > best + kTieBand, x.cell != cell, x.zone != zone, x.stream_tokens);
+    };
+    const int writer =
+        *std::min_element(usable.begin(), usable.end(), [&](int a, int b) { return order(a) < order(b); });
+    q.stage = Stage::writing;
+    send(q, writer, false);
+  }
+  double memory(const Worker& w) const {
+    const double tokens = d_.kinds[static_cast<std::size_t>(w.kind)].memory_tokens;
+    return tokens > 0 ? tokens : 1e5;
+  }
+  double fullness(const Worker& w) const {
+    if (w.memory_share < 0 || now_ - w.reported > kReportLife) return w.stream_tokens / memory(w);
+    return w.memory_share + w.since_report / memory(w);
+  }
+  // Guards against states that mount at readers while writers are full: reads are held back while what this
+  // router has on its way would not fit its part of the writers' free memory.
+  bool has_room(const Sequence& q) const {
+    double room = 0, coming = stream_size(q);
+    for (const Worker& w : s_.workers)
+      if (listed(w) && w.role != Role::reader && w.aside_until <= now_) {
+        const bool told = w.memory_share >= 0 && now_ - w.reported <= kReportLife;
+        const double held = told ? fullness(w) : fullness(w) * d_.routers;
+        room += std::max(0.0, kRoom - held) * memory(w) / d_.routers;
+      }
+    for (const int id : s_.live) {
+      const Stage stage = sequence(id).stage;
+      if (stage == Stage::reading || stage == Stage::read) coming += stream_size(sequence(id));
+    }
+    return coming <= room || in_flight() < kLeastLimit;
+  }
+  double stream_size(const Sequence& q) const { return q.prompt + q.max_out / 2; }
+
+  // The one gate. Every send passes it, and every choice is made among what passes it.
+  bool may_send(const Sequence& q, const Worker& w, bool reads) const {
+    if (!listed(w)) return false;  // rule 3
+    if (w.aside_until > now_ && (w.down_since != kNever || enough_left(w))) return false;
+    if (w.on_trial && w.pending > 0) return false;
+    if (w.full_until > now_) return false;
+    if (cold(w) && cold_credit(w) < 1) return false;  // rule 4
+    if (static_cast<int>(q.attempts.size()) + (reads ? 2 : 1) > d_.attempts_cap) return false;
+    if (now_ >= q.abandon_at - 2 * d_.tick - kPulse) return false;  // rule 1
+    for (const Attempt& a : q.attempts)
+      if (a.out && (!d_.second_copies || !a.reads) && type(q).effect != Effect::repeatable)
+        return false;
+      else if (a.out && !d_.second_copies)
+        return false;
+    return reads || stays_in_group(q, w);  // rule 2
+  }
+  bool may_have_run(const Sequence& q) const {
+    return q.maybe_ran || std::any_of(q.attempts.begin(), q.attempts.end(),
+                                      [](const Attempt& a) { return a.out && !a.reads; });
+  }
+  bool may_write_again(const Sequence& q) const {
+    return std::any_of(s_.workers.begin(), s_.workers.end(), [&](const Worker& w) {
+      return listed(w) && serves(w, false) && stays_in_group(q, w);
+    });
+  }
+  bool stays_in_group(const Sequence& q, const Worker& w) const {
+    const TrafficType& t = type(q);
+    if (t.effect == Effect::repeatable || !may_have_run(q)) return true;
+    if (t.effect == Effect::once_only || now_ > q.maybe_ran_since + t.window - 2 * d_.tick) return false;
+    const Worker& first = at(q.maybe_ran_at);
+    return t.group == Group::all || (t.group == Group::zone ? w.zone == first.zone : w.cell == first.cell);
+  }
+  // Never so many aside that the rest tips over: the merely ill are called back when under half are left.
+  bool enough_left(const Worker& w) const {
+    int ready = 0, left = 0;
+    for (const Worker& x : s_.workers)
+      if (listed(x) && x.role == w.role) ++ready, left += x.aside_until <= now_;
+    return left * 2 >= ready;
+  }
+
+  void send(Sequence& q, int worker, bool reads) {
+    Worker& w = at(worker);
+    if (!may_send(q, w, reads)) return;
+    Attempt a;
+    a.worker = worker;
+    a.reads = reads;
+    a.out = true;
+    a.sent = now_;
+    if (reads) {
+      a.promised = kept(q, worker);
+      a.tokens = q.prompt - a.promised;
+      a.ahead = w.read_tokens;
+      a.expected = nanos(wait(w) + a.tokens / rate(w));
+      w.read_tokens += a.tokens;
+    } else {
+      a.tokens = stream_size(q);
+      a.expected = nanos(s_.first_wait);
+      w.stream_tokens += a.tokens;
+      w.since_report += a.tokens;
+      if (!q.maybe_ran) q.maybe_ran_at = worker, q.maybe_ran_since = now_;
+    }
+    if (cold(w)) {
+      w.cold_credit = cold_credit(w) - 1;
+      w.cold_credit_at = now_;
+    }
+    const double keep = decay(now_ - s_.sends_at);
+    for (double& sends : s_.sends) sends *= keep;
+    s_.sends_at = now_;
+    s_.sends[w.role == Role::reader] += 1;
+    ++w.out;
+    ++w.pending;
+    q.attempts.push_back(a);
+    const bool last = static_cast<int>(q.attempts.size()) + (reads ? 2 : 1) > d_.attempts_cap;
+    out_.send(q.id, worker, last ? 0 : kGrace + nanos(kLate * seconds(a.expected)));
+  }
+
+  // The holder table.
+
+  void hold(std::uint64_t key, int worker, double tokens) {
+    if (key == 0 || tokens <= 0) return;
+    std::vector<Holding>& list = s_.holders[key];
+    std::erase_if(list, [&](const Holding& h) { return h.worker == worker; });
+    list.push_back({worker, tokens, now_});
+  }
+  double kept(const Sequence& q, int worker) const {
+    double most = 0;
+    for (const std::uint64_t key : {q.session, q.beginning}) {
+      const auto it = key == 0 ? s_.holders.end() : s_.holders.find(key);
+      if (it == s_.holders.end()) continue;
+      for (const Holding& h : it->second)
+        if (h.worker == worker && h.at >= at(worker).void_before && now_ - h.at < kKeptFor)
+          most = std::max(most, std::min(h.tokens, q.prompt));
+    }
+    return most;
+  }
+  void sweep_holders() {
+    if (now_ - s_.holders_swept < kKeptFor / 4) return;
+    s_.holders_swept = now_;
+    std::erase_if(s_.holders, [&](const auto& entry) {
+      return std::none_of(entry.second.begin(), entry.second.end(),
+                          [&](const Holding& h) { return now_ - h.at < kKeptFor; });
+    });
+  }
+
+  // Small helpers.
+
+  bool take_share(int tenant) {
+    for (std::size_t i = 0; i < s_.tenant_credit.size(); ++i) {
+      const double share = d_.tenant_rates[i] / d_.routers;
+      double& credit = s_.tenant_credit[i];
+      credit = std::min(credit + share * seconds(now_ - s_.tenant_credit_at), share * kShareBurst);
+    }
+    s_.tenant_credit_at = now_;
+    if (tenant >= static_cast<int>(s_.tenant_credit.size())) return true;
+    double& credit = s_.tenant_credit[static_cast<std::size_t>(tenant)];
+    if (credit < 1) return false;
+    credit -= 1;
+    return true;
+  }
+  void cut_limit() {
+    if (now_ - s_.limit_cut < kCutEvery) return;
+    s_.limit_cut = now_;
+    s_.limit = std::max(kLeastLimit, s_.limit * kCut);
+  }
+  double chance() {  // permuted congruential generator, 32 bits out
+    const std::uint64_t old = s_.chance;
+    s_.chance = old * 6364136223846793005u + s_.chance_step;
+    const auto mixed = static_cast<std::uint32_t>(((old >> 18) ^ old) >> 27);
+    const auto turn = static_cast<std::uint32_t>(old >> 59);
+    return static_cast<double>(mixed >> turn | mixed << ((32 - turn) & 31)) / 4294967296.0;
+  }
+  double in_flight() const {
+    int count = 0;
+    for (const int id : s_.live) count += open(sequence(id)) && sequence(id).stage != Stage::waiting;
+    return count;
+  }
+  bool open(const Sequence& q) const { return q.stage != Stage::streaming && q.stage != Stage::over; }
+  bool listed(const Worker& w) const { return w.known && w.standing == Standing::ready; }
+  bool serves(const Worker& w, bool reads) const { return reads == (w.role == Role::reader); }
+  bool has_readers() const {
+    return std::any_of(s_.workers.begin(), s_.workers.end(),
+                       [&](const Worker& w) { return listed(w) && w.role == Role::reader; });
+  }
+  const TrafficType& type(const Sequence& q) const { return d_.types[static_cast<std::size_t>(q.type)]; }
+  Worker& at(int worker) { return s_.workers[static_cast<std::size_t>(worker)]; }
+  const Worker& at(int worker) const { return s_.workers[static_cast<std::size_t>(worker)]; }
+  Sequence& sequence(int seq) { return s_.sequences[static_cast<std::size_t>(seq)]; }
+  const Sequence& sequence(int seq) const { return s_.sequences[static_cast<std::size_t>(seq)]; }
+
+  const Deployment d_;
+  Actions& out_;
+  Nanos now_;
+  Instance s_;
+};
+
+}  // namespace
+
+std::unique_ptr<Policy> make_policy(const Deployment& deployment, std::uint64_t seed, Nanos now,
+                                    Actions& actions) {
+  return std::make_unique<Router>(deployment, seed, now, actions);
+}
+
+}  // namespace cressrill
--- /dev/null
+++ b/src/policy.h
@@ -0,0 +1,50 @@
+// The interface of the decision module: calls in (Policy) and decisions out (Actions). Times are whole
+// nanoseconds on one clock; sequences and workers are small indices that the host hands out and takes back.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+
+#include "deployment.h"
+#include "state.h"
+
+namespace cressrill {
+
+class Actions {
+ public:
+  virtual ~Actions() = default;
+  virtual void send(int seq, int worker, Nanos timeout) = 0;  // timeout 0: until the client gives up
+  virtual void let_go(int seq) = 0;
+  virtual void cancel(int seq, int attempt) = 0;
+  virtual void reject(int seq, Nanos retry_after) = 0;
+  virtual void abort(int seq) = 0;
+  virtual void move(int seq) = 0;  // hands a begun stream back to its client
+  virtual void probe(int worker) = 0;
+  virtual void subscribe() = 0;
+  virtual void wake(Nanos after) = 0;
+  virtual void forget_sequence(int seq) = 0;  // the index may be handed out again
+  virtual void forget_worker(int worker) = 0;
+};
+
+class Policy {
+ public:
+  virtual ~Policy() = default;
+  virtual void list_begins(Nanos now, bool complete) = 0;
+  virtual void worker_listed(int worker, Standing standing, Nanos started, int kind, int zone, int cell) = 0;
+  virtual void list_ends() = 0;
+  virtual void list_failed(Nanos now) = 0;
+  virtual void sequence_came(Nanos now, int seq, int type, int tenant, std::uint64_t session,
+                             std::uint64_t beginning, double prompt, double beginning_tokens, double max_out,
+                             Nanos abandon_at) = 0;
+  virtual void client_left(Nanos now, int seq) = 0;
+  virtual void stream_began(Nanos now, int seq, int attempt, Nanos took) = 0;
+  virtual void attempt_ended(Nanos now, int seq, int attempt, Outcome outcome, Nanos took, bool closed,
+                             double kept, const Report& report) = 0;
+  virtual void probe_answered(Nanos now, int worker, bool passed, const Report& report) = 0;
+  virtual void woke(Nanos now) = 0;
+};
+
+std::unique_ptr<Policy> make_policy(const Deployment& deployment, std::uint64_t seed, Nanos now,
+                                    Actions& actions);
+
+}  // namespace cressrill
--- /dev/null
+++ b/src/state.h
@@ -0,0 +1,140 @@
+// Plain types, grouped by how long they live: a schedule attempt, a sequence, a worker, the instance.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <limits>
+#include <unordered_map>
+#include <vector>
+
+namespace cressrill {
+
+using Nanos = std::int64_t;
+constexpr Nanos kNever = std::numeric_limits<Nanos>::max();
+
+enum class Effect { repeatable, tokened, once_only };
+enum class Group { all, zone, cell };
+enum class Role { reader, writer, mixed };
+enum class Standing { gone, ready, draining };
+enum class Stage { waiting, reading, read, writing, streaming, over };
+enum class Outcome {
+  generated,
+  read_done,
+  error,
+  full,
+  no_state,
+  timed_out,
+  connect_failed,
+  connection_lost,
+  cancelled,
+  not_sent,
+};
+
+struct Report {
+  bool heard{};
+  double sequences{-1};     // held by the worker, waiting states too; negative where not reported
+  double memory_share{-1};  // negative where not reported
+};
+
+struct Attempt {
+  int worker{};
+  bool reads{};
+  bool out{};
+  bool begun{};     // its stream flows
+  bool given_up{};  // cancelled, or no longer waited for
+  Nanos sent{};
+  Nanos expected{};   // how long it should take
+  double tokens{};    // work it lays on the worker
+  double ahead{};     // own tokens that waited at the reader before it
+  double promised{};  // tokens that the table expected to be kept
+};
+
+struct Sequence {
+  int id{};
+  Stage stage{};
+  int type{};
+  bool in_share{};
+  std::uint64_t session{};
+  std::uint64_t beginning{};
+  double prompt{};
+  double beginning_tokens{};
+  double max_out{};
+  Nanos came{};
+  Nanos slo_at{};
+  Nanos abandon_at{};
+  Nanos pinned_since{};  // last outcome, while a state may be held; kNever: nothing held
+  int reader{-1};        // where the state waits
+  int maybe_ran_at{-1};  // writer of the first attempt not proved idle
+  Nanos maybe_ran_since{};
+  bool maybe_ran{};  // some ended write attempt may have run
+  std::vector<Attempt> attempts;
+};
+
+struct Worker {
+  bool known{};
+  Standing standing{};
+  Role role{};
+  int kind{};
+  int zone{};
+  int cell{};
+  Nanos started{};      // as listed
+  Nanos void_before{};  // what it kept before is not believed in
+  Nanos cold_since{};   // start by the list or guessed from symptoms; kNever: warm
+  Nanos heard{};        // last sign of life
+  Nanos down_since{};   // first refused connection or break since last heard; kNever: none
+  Nanos aside_until{};
+  bool on_trial{};   // back from being aside, one sequence at a time until it answers
+  double strikes{};  // failures, ageing with every success
+  Nanos full_until{};
+  int out{};               // own attempts out, streams too
+  int pending{};           // of these, neither read nor begun to stream
+  int states{};            // own states that wait here
+  double read_tokens{};    // own tokens waiting to be read here
+  double stream_tokens{};  // own tokens held or on their way here
+  double since_report{};   // of these, sent since the last report
+  Nanos reported{};
+  double sequences{-1};
+  double own_at_report{};
+  double memory_share{-1};
+  double rate_tokens{};  // decayed sums: tokens read and the time that took
+  double rate_time{};
+  Nanos rate_at{};
+  double first_wait{};  // smoothed wait for a first token here
+  double first_count{};
+  double cold_credit{};  // sends a cold worker may still get
+  Nanos cold_credit_at{};
+  bool probe_out{};
+  Nanos probed{};
+};
+
+struct Holding {
+  int worker{};
+  double tokens{};
+  Nanos at{};
+};
+
+struct Instance {
+  std::vector<Sequence> sequences;  // by small index
+  std::vector<int> live;            // in order of arrival
+  std::vector<Worker> workers;      // by small index
+  std::unordered_map<std::uint64_t, std::vector<Holding>> holders;
+  double limit{};        // sequences in flight before their first token
+  double rate_tokens{};  // decayed sums over all readers, as in Worker
+  double rate_time{};
+  Nanos rate_at{};
+  double read_tokens{};  // smoothed work of one read
+  Nanos limit_cut{};
+  Nanos holders_swept{};
+  double first_wait{};  // smoothed wait for a first token at a writer
+  double read_wait{};   // smoothed time of a read
+  double sends[2]{};    // decayed counts of sends to writers and to readers
+  Nanos sends_at{};
+  std::vector<double> tenant_credit;
+  Nanos tenant_credit_at{};
+  Nanos list_asked{};
+  Nanos woken_at{};
+  std::uint64_t chance{};
+  std::uint64_t chance_step{};
+};
+
+}  // namespace cressrill
--- /dev/null
+++ b/tests/policy_test.cpp
@@ -0,0 +1,192 @@
+// The decisions, each failure with a short trace that is kept in tests/traces and read by people.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "trace.h"
+
+namespace cressrill::testing {
+
+TEST_CASE("the ordinary path: read, then the writer is chosen") {
+  Trace t("ordinary_path");
+  t.whole(0, 1, 4000);
+  t.whole(1, 1, 4300, 4000);  // the session's holder reads again
+}
+
+TEST_CASE("a holder with too much waiting loses to the load pick") {
+  Trace t("holder_busy");
+  t.whole(0, 1, 4000);
+  for (int seq = 1; seq <= 4; ++seq) t.came(seq, 1, 8000);  // the lead pays for some waiting, not for any
+}
+
+TEST_CASE("a lead that was gone voids what that reader promised") {
+  Trace t("lead_gone");
+  t.whole(0, 1, 4000);
+  t.whole(1, 2, 4000);
+  t.whole(2, 3, 4000);
+  t.whole(3, 1, 4300, 0);
+  t.came(4, 2, 4300);
+}
+
+TEST_CASE("writers by reported memory, ties by cell, then by own stream tokens") {
+  Trace t("writer_order", small_deployment(), 1, 3);
+  t.listed(3, Standing::ready, 1, 0, 5);
+  t.came(0, 0, 3000);
+  t.until(50);
+  t.ended(0, 0, Outcome::read_done);
+  t.until(100);
+  t.ended(0, 1, Outcome::error, 0, 0.9);  // worker 1 says that it is nearly full
+  t.until(150);
+  t.came(1, 0, 3000);
+  t.until(200);
+  t.ended(1, 0, Outcome::read_done);
+}
+
+TEST_CASE("a draining worker gets nothing new") {
+  Trace t("drain");
+  t.listed(0, Standing::draining, 0);
+  t.listed(2, Standing::gone, 1);
+  t.whole(0, 1, 3000);
+  t.listed(1, Standing::draining, 0);
+  t.came(1, 1, 3000);
+  t.until(1000);
+}
+
+TEST_CASE("a cold worker gets a small share, spread over time") {
+  Trace t("cold_start", small_deployment(), 2, 2);
+  t.listed(0, Standing::ready, 0, 1);
+  for (int seq = 0; seq < 6; ++seq) t.whole(seq, 0, 3000);
+}
+
+TEST_CASE("what was down and answers again counts as cold before the list tells") {
+  Trace t("cold_guess", small_deployment(), 2, 1);
+  t.listed(1, Standing::draining, 0);
+  t.came(0, 0, 3000);
+  t.until(20);
+  t.ended(0, 0, Outcome::connection_lost);
+  t.until(500);
+  t.left(0);
+  t.until(4000);
+  t.whole(1, 0, 3000);
+  t.came(2, 0, 3000);
+  t.came(3, 0, 3000);
+}
+
+TEST_CASE("a silent worker is left at once by all that wait there") {
+  Trace t("silence", small_deployment(), 1, 2);
+  t.came(0, 0, 3000);
+  t.until(100);
+  t.ended(0, 0, Outcome::read_done);
+  t.until(2500);
+  t.ended(0, 1, Outcome::cancelled);
+}
+
+TEST_CASE("a worker that fails fast is set aside and comes back on trial") {
+  Trace t("fast_errors");
+  for (int seq = 0; seq < 4; ++seq) {
+    t.came(seq, 0, 3000);
+    t.until(t.now_ms() + 20);
+    t.ended(seq, 0, Outcome::error);
+    t.until(t.now_ms() + 20);
+    t.left(seq);
+    t.ended(seq, 1, Outcome::cancelled);
+  }
+  t.until(4000);
+  t.came(4, 0, 3000);
+  t.came(5, 0, 3000);
+  t.came(6, 0, 3000);
+}
+
+TEST_CASE("a state that no writer takes is let go well before the limit, and answered at once") {
+  Trace t("pinned", small_deployment(), 1, 1);
+  t.came(0, 0, 3000);
+  t.until(100);
+  t.ended(0, 0, Outcome::read_done);
+  t.until(150);
+  t.listed(1, Standing::draining, 1);
+  t.ended(0, 1, Outcome::full);
+  t.until(600);
+}
+
+TEST_CASE("full writers hold reads back, and a line that stands too long is answered at once") {
+  Trace t("writers_full", small_deployment(), 1, 1);
+  for (int seq = 0; seq < 5; ++seq) t.came(seq, 0, 30000);
+  t.until(200);
+  t.ended(0, 0, Outcome::read_done);
+  t.until(210);
+  t.ended(0, 1, Outcome::full);
+  t.until(1200);
+}
+
+TEST_CASE("a once-only sequence that may have run is aborted, not sent or rejected") {
+  Deployment d = small_deployment();
+  d.types[0].effect = Effect::once_only;
+  Trace t("once_only", d);
+  t.came(0, 0, 3000);
+  t.until(100);
+  t.ended(0, 0, Outcome::read_done);
+  t.until(150);
+  t.ended(0, 1, Outcome::full);  // proved idle: another writer may have it
+  t.until(180);
+  t.ended(0, 2, Outcome::error);
+  t.until(200);
+}
+
+TEST_CASE("a tokened sequence that may have run stays in its cell") {
+  Deployment d = small_deployment();
+  d.types[0].effect = Effect::tokened;
+  d.types[0].group = Group::cell;
+  d.types[0].window = 2000 * kMs;
+  Trace t("tokened", d, 1, 3);
+  t.listed(1, Standing::ready, 1, 0, 4);
+  t.listed(3, Standing::ready, 1, 0, 4);
+  t.listed(2, Standing::ready, 1, 0, 9);
+  t.came(0, 0, 3000);
+  t.until(100);
+  t.ended(0, 0, Outcome::read_done);
+  t.until(120);
+  t.ended(0, 1, Outcome::error);
+  t.until(140);
+  t.ended(0, 2, Outcome::error);
+  t.until(400);
+}
+
+TEST_CASE("the last moment: an answer before the client gives up, and nothing after it") {
+  Deployment d = small_deployment();
+  d.attempts_cap = 2;
+  Trace t("last_moment", d, 1, 1);
+  t.came(0, 0, 3000, 1000);
+  t.until(700);
+  t.ended(0, 0, Outcome::read_done);
+  t.until(1100);
+  t.ended(0, 1, Outcome::timed_out);
+}
+
+TEST_CASE("past its share a tenant waits behind the others") {
+  Deployment d = small_deployment();
+  d.tenant_rates = {1, 1};
+  Trace t("tenant_share", d, 1, 1);
+  for (int seq = 0; seq < 12; ++seq) t.came(seq, 0, 9000, 6000, 0, 0, 0, 0);
+  t.came(12, 0, 9000, 6000, 0, 0, 0, 1);
+  t.until(100);
+  t.ended(0, 0, Outcome::read_done);
+}
+
+TEST_CASE("no readers: mixed workers do both with one attempt") {
+  Deployment d = small_deployment();
+  d.kinds[1].role = Role::mixed;
+  Trace t("mixed_only", d, 0, 2);
+  t.came(0, 0, 3000);
+  t.until(100);
+  t.began(0, 0);
+  t.ended(0, 0, Outcome::generated);
+}
+
+TEST_CASE("an empty list, and a list that must be asked for") {
+  Deployment d = small_deployment();
+  d.asks_for_list = true;
+  d.must_ask_in = 1000 * kMs;
+  d.retry_after = true;
+  Trace t("empty_list", d, 0, 0);
+  t.came(0, 0, 3000);
+  t.until(1000);
+}
+
+}  // namespace cressrill::testing
