Limit cut by late first tokens; a dropped key voids only older ones on that reader

Incidents showed reader queues of 2 s with no 'full' anywhere: nothing cut the in-flight limit. Cause told by the reads' times against the writers'.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -38,9 +38,11 @@
 constexpr double kLeastLimit = 2;
 constexpr double kCut = 0.7;  // and is cut by a share, at most once in
 constexpr Nanos kCutEvery = 500 * kMs;
-constexpr double kPatience = 0.4;  // share of the latency SLO that a sequence may wait in line
-constexpr double kColdCare = 0.5;  // share of the cold budget that is used: others guess too
-constexpr double kShareBurst = 2;  // seconds of a tenant's share that may come at once
+constexpr double kPatience = 0.4;      // share of the latency SLO that a sequence may wait in line
+constexpr double kPart = 0.4;          // share of it that may pass from the read's start to the first token
+constexpr double kStrainWeight = 0.2;  // of a new sample: some answers tell, not one
+constexpr double kColdCare = 0.5;      // share of the cold budget that is used: others guess too
+constexpr double kShareBurst = 2;      // seconds of a tenant's share that may come at once
 
 double seconds(Nanos t) { return static_cast<double>(t) / static_cast<double>(kSecond); }
 Nanos nanos(double s) { return static_cast<Nanos>(s * static_cast<double>(kSecond)); }
@@ -140,8 +142,13 @@
     state_gone(q);
     smooth(s_.first_wait, seconds(took));
     if (q.stage == Stage::over) return run();
-    if (in_flight() * 2 >= s_.limit && now < q.slo_at)
-      s_.limit += 1 / s_.limit;  // one for each limit's worth
+    // Guards against queues that build where no one says full (prompts not kept any more, long answers, lost
+    // workers): what is sent should stream within its part of the latency SLO, the rest is for the line.
+    s_.strain += kStrainWeight * (seconds(now - q.read_at) / seconds(q.slo_at - q.came) - s_.strain);
+    if (s_.strain > kPart)
+      cut_limit();
+    else if (in_flight() * 2 >= s_.limit)
+      s_.limit += 1 / s_.limit;  // by one for each limit's worth
     q.stage = Stage::streaming;
     run();
   }
@@ -407,9 +414,9 @@
     learn(s_.rate_tokens, s_.rate_time, s_.rate_at, a.ahead + read, took);
     smooth(s_.read_tokens, read);
     smooth(s_.read_wait, seconds(took));
-    // Guards against leads that are gone (a flush, a restart that no one told): the whole worker is
-    // disbelieved.
-    if (kept < a.promised / 2) w.void_before = now_;
+    // Guards against leads that are gone (a flush, a full memory, a restart that no one told): where this key was
+    // dropped, keys that were last read there before it are gone too.
+    if (kept < a.promised / 2) w.void_before = std::max(w.void_before, a.promised_at + 1);
     hold(q.session, a.worker, q.prompt);
     hold(q.beginning, a.worker, q.beginning_tokens);
     if (q.stage != Stage::reading || a.given_up) return;
@@ -447,14 +454,17 @@
     const auto load = [&](int w) { return wait(at(w)) + s_.read_tokens / rate(at(w)) + far(at(w)); };
     const int by_load = sample(
         usable, [&](int w) { return -load(w); }, kNear * s_.read_tokens / rate());
-    const double base = load(by_load), lead_of_base = kept(q, by_load);
+    const double base = load(by_load), lead_of_base = promise(q, by_load).tokens;
     std::vector<int> holders;
-    const auto gain = [&](int w) { return (kept(q, w) - lead_of_base) / rate(at(w)) - (load(w) - base); };
+    const auto gain = [&](int w) {
+      return (promise(q, w).tokens - lead_of_base) / rate(at(w)) - (load(w) - base);
+    };
     for (const int w : usable)
       if (gain(w) > 0) holders.push_back(w);
     const int reader = holders.empty() ? by_load : sample(holders, gain, kNear * q.prompt / rate());
     q.reader = reader;
     q.stage = Stage::reading;
+    q.read_at = now_;
     send(q, reader, true);
   }
   // Among those within a margin of the best, by chance with weight 1 / (waiting + 1).
@@ -596,7 +606,9 @@
     a.out = true;
     a.sent = now_;
     if (reads) {
-      a.promised = kept(q, worker);
+      const Holding held = promise(q, worker);
+      a.promised = held.tokens;
+      a.promised_at = held.at;
       a.tokens = q.prompt - a.promised;
       a.ahead = w.read_tokens;
       a.expected = nanos(wait(w) + a.tokens / rate(w));
@@ -631,14 +643,15 @@
     std::erase_if(list, [&](const Holding& h) { return h.worker == worker; });
     list.push_back({worker, tokens, now_});
   }
-  double kept(const Sequence& q, int worker) const {
-    double most = 0;
+  // The most that the table says this worker has kept of the prompt.
+  Holding promise(const Sequence& q, int worker) const {
+    Holding most{worker, 0, 0};
     for (const std::uint64_t key : {q.session, q.beginning}) {
       const auto it = key == 0 ? s_.holders.end() : s_.holders.find(key);
       if (it == s_.holders.end()) continue;
       for (const Holding& h : it->second)
         if (h.worker == worker && h.at >= at(worker).void_before && now_ - h.at < kKeptFor)
-          most = std::max(most, std::min(h.tokens, q.prompt));
+          if (std::min(h.tokens, q.prompt) > most.tokens) most = {worker, std::min(h.tokens, q.prompt), h.at};
     }
     return most;
   }
--- a/src/state.h
+++ b/src/state.h
@@ -47,6 +47,7 @@
   double tokens{};    // work it lays on the worker
   double ahead{};     // own tokens that waited at the reader before it
   double promised{};  // tokens that the table expected to be kept
+  Nanos promised_at{};
 };
 
 struct Sequence {
@@ -61,6 +62,7 @@
   double max_out{};
   Nanos came{};
   Nanos slo_at{};
+  Nanos read_at{};  // when it left the line
   Nanos abandon_at{};
   Nanos pinned_since{};  // last outcome, while a state may be held; kNever: nothing held
   int reader{-1};        // where the state waits
@@ -124,6 +126,7 @@
   Nanos rate_at{};
   double read_tokens{};  // smoothed work of one read
   Nanos limit_cut{};
+  double strain{};  // smoothed share of the latency SLO from the read's start to the first token
   Nanos holders_swept{};
   double first_wait{};  // smoothed wait for a first token at a writer
   double read_wait{};   // smoothed time of a read
