Unknown sessions go to a common home; writers tie within a quarter of their memory

Cause: with 2 or 3 routers most turns of a session come by a router whose table does not know it, and each such turn read the whole prompt anew. A hash now names one reader of the zone, trusted for the share that such readers turned out to hold.

--- a/simhost/host.cpp
+++ b/simhost/host.cpp
@@ -104,8 +104,9 @@
       if (kind >= profile_.deployment.kinds.size())
         throw WireError("list entry: machine kind " + std::to_string(kind) + " is not in the settings");
       policy_->worker_listed(workers_.index(static_cast<std::uint32_t>(entry.number(4, 4))),
-                             standing_of(entry.number(8, 1)), nanos(entry.f64(9)), static_cast<int>(kind),
-                             static_cast<int>(entry.number(18, 2)), static_cast<int>(entry.number(20, 2)));
+                             entry.number(4, 4), standing_of(entry.number(8, 1)), nanos(entry.f64(9)),
+                             static_cast<int>(kind), static_cast<int>(entry.number(18, 2)),
+                             static_cast<int>(entry.number(20, 2)));
     }
     policy_->list_ends();
   }
@@ -141,11 +142,6 @@
                              report(event, 30));
   }
 
-  void health(Nanos now, const Bytes& event) {
-    const int worker = workers_.find(static_cast<std::uint32_t>(event.number(2, 4)));
-    if (worker >= 0) policy_->probe_answered(now, worker, event.number(6, 2) == 100, report(event, 16));
-  }
-
   void elapsed(Nanos now) { policy_->woke(now); }
 
   void send(int seq, int worker, Nanos timeout) override {
@@ -160,7 +156,6 @@
   }
   void abort(int seq) override { record(3).number(sequences_.id(seq), 8); }
   void move(int seq) override { record(6).number(sequences_.id(seq), 8); }
-  void probe(int worker) override { record(11).number(workers_.id(worker), 4); }
   void subscribe() override { record(10).number(1, 1); }
   void wake(Nanos after) override { record(15).number(0, 4).f64(millis(after)); }
   void forget_sequence(int seq) override { sequences_.forget(seq); }
@@ -267,10 +262,8 @@
       case 3:
         instance().ended(now, event);
         break;
-      case 1:
-        instance().health(now, event);
-        break;
-      case 12:  // answers to places held ahead and messages of other routers: neither is ever asked for
+      case 1:  // answers to probes and to places held ahead, messages of other routers: none is asked for
+      case 12:
       case 13:
         break;
       default:
--- a/simhost/profile.cpp
+++ b/simhost/profile.cpp
@@ -152,7 +152,6 @@
   d.attempts_cap = static_cast<int>(from.number("caps.attemptsCap"));
   d.cancelling = from.flag("caps.cancelling");
   d.second_copies = from.flag("caps.parallelTries");
-  d.probes = from.flag("caps.probes");
   d.retry_after = from.flag("caps.retryAfter");
   d.max_retry_after = nanos(from.number_or_zero("caps.maxRetryAfterMs"));
   d.resume = from.flag("familyInfo.resume");
--- a/src/deployment.h
+++ b/src/deployment.h
@@ -32,7 +32,6 @@
   int attempts_cap{};
   bool cancelling{};
   bool second_copies{};
-  bool probes{};
   bool retry_after{};
   Nanos max_retry_after{};
   bool resume{};
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -24,7 +24,7 @@
 constexpr double kFirstRate = 10'000;   // tokens read a second, until answers tell: outweighed by one read
 constexpr double kPriorTokens = 4'000;  // a worker's own rate counts fully once it has read some prompts
 constexpr double kNear = 0.1;           // holders tie within this share of the read's time
-constexpr double kTieBand = 0.1;        // writers tie within this share of their memory
+constexpr double kTieBand = 0.25;       // writers tie within this share of their memory
 constexpr double kRoom = 0.92;          // fuller writers push their newest answers back into the queue
 constexpr double kOthersRead = 0.5;  // of what others hold at a reader, half is read and waits for its fetch
 constexpr double kSmooth = 0.1;      // weight of a new sample in a smoothed wait
@@ -41,6 +41,7 @@
 constexpr double kPatience = 0.4;      // share of the latency SLO that a sequence may wait in line
 constexpr double kPart = 0.4;          // share of it that may pass from the read's start to the first token
 constexpr double kStrainWeight = 0.2;  // of a new sample: some answers tell, not one
+constexpr double kFirstTrust = 0.3;    // share of a prompt that a session's home may hold, until answers tell
 constexpr double kColdCare = 0.5;      // share of the cold budget that is used: others guess too
 constexpr double kShareBurst = 2;      // seconds of a tenant's share that may come at once
 
@@ -57,12 +58,12 @@
     s_.chance = seed;
     s_.limit = kFirstLimit;
     s_.read_tokens = kPriorTokens;
+    s_.home_trust = kFirstTrust;
     s_.first_wait = seconds(kGrace);
     s_.read_wait = seconds(kGrace);
     s_.tenant_credit.assign(d_.tenant_rates.size(), 0);
     s_.tenant_credit_at = now - nanos(kShareBurst);
-    s_.list_asked = now;
-    if (d_.asks_for_list) out_.subscribe();
+    s_.list_asked = now - d_.must_ask_in;
   }
 
   void list_begins(Nanos now, bool complete) override {
@@ -71,13 +72,15 @@
       for (Worker& w : s_.workers) w.standing = Standing::gone;
   }
 
-  void worker_listed(int worker, Standing standing, Nanos started, int kind, int zone, int cell) override {
+  void worker_listed(int worker, std::uint64_t identity, Standing standing, Nanos started, int kind, int zone,
+                     int cell) override {
     if (worker >= static_cast<int>(s_.workers.size()))
       s_.workers.resize(static_cast<std::size_t>(worker) + 1);
     Worker& w = at(worker);
     if (!w.known) {
       w = Worker{};
       w.known = true;
+      w.identity = identity;
       w.down_since = w.cold_since = kNever;
       w.started = started;
       if (started > 0) w.cold_since = started;
@@ -96,11 +99,7 @@
 
   void list_ends() override { run(); }
 
-  void list_failed(Nanos now) override {
-    now_ = now;
-    if (d_.asks_for_list) out_.subscribe();
-    s_.list_asked = now;
-  }
+  void list_failed(Nanos now) override { now_ = now; }  // it is asked for again in time
 
   void sequence_came(Nanos now, int seq, int type, int tenant, std::uint64_t session, std::uint64_t beginning,
                      double prompt, double beginning_tokens, double max_out, Nanos abandon_at) override {
@@ -181,15 +180,6 @@
     run();
   }
 
-  void probe_answered(Nanos now, int worker, bool passed, const Report& report) override {
-    now_ = now;
-    Worker& w = at(worker);
-    w.probe_out = false;
-    if (report.heard) note_report(w, report);
-    if (passed) answered(w);
-    run();
-  }
-
   void woke(Nanos now) override {
     now_ = now;
     run();
@@ -248,7 +238,7 @@
     if (w.pending == 0 || w.aside_until > now_) return false;
     for (const int id : s_.live)
       for (const Attempt& a : sequence(id).attempts)
-        if (a.out && !a.given_up && &at(a.worker) == &w && w.heard < a.sent && !a.begun &&
+        if (unanswered(a) && &at(a.worker) == &w && w.heard < a.sent &&
             now_ - a.sent > kGrace + nanos(kLate * seconds(a.expected)))
           return true;
     return false;
@@ -259,7 +249,7 @@
     for (const int id : s_.live) {
       Sequence& q = sequence(id);
       for (Attempt& a : q.attempts)
-        if (a.out && !a.given_up && &at(a.worker) == &w && !a.begun && q.stage != Stage::over) {
+        if (unanswered(a) && &at(a.worker) == &w && open(q)) {
           leave(q, a);
           go_back(q, a, Outcome::timed_out);
         }
@@ -283,7 +273,7 @@
     if (outcome == Outcome::generated || outcome == Outcome::read_done) answered(w);
     if (outcome == Outcome::error) w.strikes += w.on_trial ? kStrikesOut : 1;
     if (outcome == Outcome::timed_out && (silent || w.on_trial)) w.strikes += kStrikesOut;
-    if (lost && w.down_since == kNever) w.down_since = now_;
+    if (lost) w.down_since = std::min(w.down_since, now_ - kAside);
     if (lost && !given_up) w.strikes += kStrikesOut;
   }
 
@@ -293,7 +283,7 @@
     w.on_trial = false;
     if (w.aside_until > now_) w.aside_until = now_;
     // Guards rule 4 where the list is late: what was down and answers again has just started.
-    if (w.down_since != kNever) w.cold_since = w.void_before = now_;
+    if (w.down_since <= now_ - kAside) w.cold_since = w.void_before = now_;
     w.down_since = kNever;
   }
 
@@ -305,32 +295,30 @@
     w.since_report = 0;
   }
 
-  // A cold worker's share of what a warm one of its role gets, by the slowest climb the settings allow.
-  double cold_share(const Worker& w) const {
+  // Sends that a cold worker may still get: a share of what a warm one of its role gets, by the slowest climb
+  // that the settings allow.
+  double cold_credit(const Worker& w) const {
     const double climbed = std::clamp(seconds(now_ - w.cold_since) / seconds(d_.ramp_time), 0.0, 1.0);
     const double capacity = d_.cold_from + (1 - d_.cold_from) * climbed * climbed;
-    return std::min(1.0, kColdCare * d_.fall_multiple * capacity);
-  }
-  double cold_credit(const Worker& w) const {
+    const double share = std::min(1.0, kColdCare * d_.fall_multiple * capacity);
     int peers = 0;
     for (const Worker& other : s_.workers)
       if (listed(other) && other.role == w.role && !cold(other)) ++peers;
     const double per_peer = s_.sends[w.role == Role::reader] / seconds(kMemory) / std::max(1, peers);
-    const double rate = std::max(cold_share(w) * per_peer, d_.cold_from / seconds(d_.fall_span));
+    const double rate = std::max(share * per_peer, d_.cold_from / seconds(d_.fall_span));
     return std::min(2.0, w.cold_credit + rate * seconds(now_ - std::max(w.cold_credit_at, w.cold_since)));
   }
 
   // Sequences: the ordinary path and its ends.
 
   bool still_asked(const Sequence& q) const {
-    if (q.stage != Stage::over && q.stage != Stage::streaming) return false;
-    return std::any_of(q.attempts.begin(), q.attempts.end(),
-                       [&](const Attempt& a) { return a.out && !a.given_up && !a.begun; });
+    return !open(q) && std::any_of(q.attempts.begin(), q.attempts.end(), unanswered);
   }
   void stop_asking(Sequence& q) {
     for (Attempt& a : q.attempts)
-      if (a.out && !a.given_up && !a.begun) leave(q, a);
+      if (unanswered(a)) leave(q, a);
   }
+  static bool unanswered(const Attempt& a) { return a.out && !a.given_up && !a.begun; }
   void leave(Sequence& q, Attempt& a) {
     a.given_up = true;
     if (q.pinned_since != kNever) q.pinned_since = now_;
@@ -342,10 +330,8 @@
            std::none_of(q.attempts.begin(), q.attempts.end(), [](const Attempt& a) { return a.out; });
   }
   void forget(Sequence& q) {
-    const auto left = [](const Attempt& a) { return a.given_up; };
-    if (std::any_of(q.attempts.begin(), q.attempts.end(), left))
-      out_.let_go(q.id);  // it may have come too late
-    state_gone(q);
+    for (const Attempt& a : q.attempts)
+      if (a.given_up) out_.let_go(q.id);  // its state may have come after all
     s_.live.erase(std::find(s_.live.begin(), s_.live.end(), q.id));
     out_.forget_sequence(q.id);
   }
@@ -363,7 +349,7 @@
     if (q.stage != Stage::waiting && q.stage != Stage::read) return false;
     const int needed = q.stage == Stage::waiting && has_readers() ? 2 : 1;
     return static_cast<int>(q.attempts.size()) + needed > d_.attempts_cap ||
-           (q.maybe_ran && !may_write_again(q)) || now_ + usual(q) > q.abandon_at;
+           (q.maybe_ran && type(q).effect == Effect::once_only) || now_ + usual(q) > q.abandon_at;
   }
   bool too_long_in_line(const Sequence& q) const {
     return q.stage == Stage::waiting &&
@@ -410,9 +396,10 @@
 
   void read_ended(Sequence& q, const Attempt& a, Worker& w, Nanos took, double kept) {
     const double read = std::max(1.0, q.prompt - kept);
-    learn(w.rate_tokens, w.rate_time, w.rate_at, a.ahead + read, took);
-    learn(s_.rate_tokens, s_.rate_time, s_.rate_at, a.ahead + read, took);
+    learn(w.pace, a.ahead + read, took);
+    learn(s_.pace, a.ahead + read, took);
     smooth(s_.read_tokens, read);
+    if (a.presumed) smooth(s_.home_trust, kept / std::max(1.0, q.prompt));
     smooth(s_.read_wait, seconds(took));
     // Guards against leads that are gone (a flush, a full memory, a restart that no one told): where this key was
     // dropped, keys that were last read there before it are gone too.
@@ -425,11 +412,9 @@
     q.pinned_since = now_;
     ++w.states;
   }
-  void learn(double& tokens, double& time, Nanos& last, double read, Nanos took) {
-    const double keep = decay(now_ - last);
-    tokens = tokens * keep + read;
-    time = time * keep + seconds(took);
-    last = now_;
+  void learn(Pace& pace, double read, Nanos took) {
+    const double keep = decay(now_ - pace.at);
+    pace = {pace.tokens * keep + read, pace.seconds * keep + seconds(took), now_};
   }
 
   // The read: DESIGN's load pick and the holder's lead against it.
@@ -438,9 +423,7 @@
     if (q.stage != Stage::waiting || in_flight() >= s_.limit || !has_room(q)) return false;
     for (const int id : s_.live)
       if (sequence(id).stage == Stage::waiting && before(sequence(id), q)) return false;
-    const bool reads = has_readers();
-    return std::any_of(s_.workers.begin(), s_.workers.end(),
-                       [&](const Worker& w) { return serves(w, reads) && may_send(q, w, reads); });
+    return !candidates(q, has_readers()).empty();
   }
   bool before(const Sequence& a, const Sequence& b) const {
     if (a.in_share != b.in_share) return a.in_share;
@@ -448,17 +431,17 @@
   }
   void read(Sequence& q) {
     if (!has_readers()) return write(q);  // mixed workers, or writers that read: one attempt does both
-    std::vector<int> usable;
-    for (int w = 0; w < static_cast<int>(s_.workers.size()); ++w)
-      if (serves(at(w), true) && may_send(q, at(w), true)) usable.push_back(w);
+    const std::vector<int> usable = candidates(q, true);
     const auto load = [&](int w) { return wait(at(w)) + s_.read_tokens / rate(at(w)) + far(at(w)); };
     const int by_load = sample(
         usable, [&](int w) { return -load(w); }, kNear * s_.read_tokens / rate());
-    const double base = load(by_load), lead_of_base = promise(q, by_load).tokens;
-    std::vector<int> holders;
-    const auto gain = [&](int w) {
-      return (promise(q, w).tokens - lead_of_base) / rate(at(w)) - (load(w) - base);
+    const double base = load(by_load);
+    const int home = home_of(q);
+    const auto lead = [&](int w) {
+      return std::max(promise(q, w).tokens, w == home ? s_.home_trust * q.prompt : 0);
     };
+    std::vector<int> holders;
+    const auto gain = [&](int w) { return (lead(w) - lead(by_load)) / rate(at(w)) - (load(w) - base); };
     for (const int w : usable)
       if (gain(w) > 0) holders.push_back(w);
     const int reader = holders.empty() ? by_load : sample(holders, gain, kNear * q.prompt / rate());
@@ -466,6 +449,22 @@
     q.stage = Stage::reading;
     q.read_at = now_;
     send(q, reader, true);
+    q.attempts.back().presumed = reader == home;
+  }
+  // Departure: a session that the table does not know may have been read through another router. All routers
+  // name the same reader for it, by a hash; that reader is taken to hold what such readers turned out to hold.
+  int home_of(const Sequence& q) const {
+    if (q.session == 0 || s_.holders.contains(q.session)) return -1;
+    int home = -1;
+    std::uint64_t most = 0;
+    for (int w = 0; w < static_cast<int>(s_.workers.size()); ++w) {
+      if (!listed(at(w)) || at(w).role != Role::reader) continue;
+      std::uint64_t mixed = (q.session ^ at(w).identity * 0x9e3779b97f4a7c15u) * 0xbf58476d1ce4e5b9u;
+      mixed = (mixed ^ mixed >> 31) * 0x94d049bb133111ebu >> 1;
+      if (at(w).zone == d_.zone) mixed |= 1ull << 63;  // clients come again in their zone
+      if (home < 0 || mixed > most) home = w, most = mixed;
+    }
+    return home;
   }
   // Among those within a margin of the best, by chance with weight 1 / (waiting + 1).
   template <class Score>
@@ -482,11 +481,11 @@
     return near.back();
   }
   double rate() const {
-    return (s_.rate_tokens + kPriorTokens / 4) / (s_.rate_time + kPriorTokens / 4 / kFirstRate);
+    return (s_.pace.tokens + kPriorTokens / 4) / (s_.pace.seconds + kPriorTokens / 4 / kFirstRate);
   }
   double rate(const Worker& w) const {
-    const double keep = decay(now_ - w.rate_at);
-    return (w.rate_tokens * keep + kPriorTokens) / (w.rate_time * keep + kPriorTokens / rate());
+    const double keep = decay(now_ - w.pace.at);
+    return (w.pace.tokens * keep + kPriorTokens) / (w.pace.seconds * keep + kPriorTokens / rate());
   }
   // What others hold at a reader, by its report; an unheard one is as the average.
   double others(const Worker& w) const {
@@ -511,14 +510,10 @@
   // The write: DESIGN's pick by memory, after the read, with its tie order.
 
   bool ready_to_write(const Sequence& q) const {
-    return q.stage == Stage::read && std::any_of(s_.workers.begin(), s_.workers.end(), [&](const Worker& w) {
-             return serves(w, false) && may_send(q, w, false);
-           });
+    return q.stage == Stage::read && !candidates(q, false).empty();
   }
   void write(Sequence& q) {
-    std::vector<int> usable;
-    for (int w = 0; w < static_cast<int>(s_.workers.size()); ++w)
-      if (serves(at(w), false) && may_send(q, at(w), false)) usable.push_back(w);
+    const std::vector<int> usable = candidates(q, false);
     double best = 1e18;
     for (const int w : usable) best = std::min(best, fullness(at(w)));
     const int cell = q.reader < 0 ? -1 : at(q.reader).cell, zone = q.reader < 0 ? d_.zone : at(q.reader).zone;
@@ -573,15 +568,16 @@
         return false;
     return reads || stays_in_group(q, w);  // rule 2
   }
+  std::vector<int> candidates(const Sequence& q, bool reads) const {
+    std::vector<int> usable;
+    for (int w = 0; w < static_cast<int>(s_.workers.size()); ++w)
+      if (serves(at(w), reads) && may_send(q, at(w), reads)) usable.push_back(w);
+    return usable;
+  }
   bool may_have_run(const Sequence& q) const {
     return q.maybe_ran || std::any_of(q.attempts.begin(), q.attempts.end(),
                                       [](const Attempt& a) { return a.out && !a.reads; });
   }
-  bool may_write_again(const Sequence& q) const {
-    return std::any_of(s_.workers.begin(), s_.workers.end(), [&](const Worker& w) {
-      return listed(w) && serves(w, false) && stays_in_group(q, w);
-    });
-  }
   bool stays_in_group(const Sequence& q, const Worker& w) const {
     const TrafficType& t = type(q);
     if (t.effect == Effect::repeatable || !may_have_run(q)) return true;
--- a/src/policy.h
+++ b/src/policy.h
@@ -19,7 +19,6 @@
   virtual void reject(int seq, Nanos retry_after) = 0;
   virtual void abort(int seq) = 0;
   virtual void move(int seq) = 0;  // hands a begun stream back to its client
-  virtual void probe(int worker) = 0;
   virtual void subscribe() = 0;
   virtual void wake(Nanos after) = 0;
   virtual void forget_sequence(int seq) = 0;  // the index may be handed out again
@@ -30,7 +29,9 @@
  public:
   virtual ~Policy() = default;
   virtual void list_begins(Nanos now, bool complete) = 0;
-  virtual void worker_listed(int worker, Standing standing, Nanos started, int kind, int zone, int cell) = 0;
+  // identity: the same number at every router, with no meaning of its own.
+  virtual void worker_listed(int worker, std::uint64_t identity, Standing standing, Nanos started, int kind,
+                             int zone, int cell) = 0;
   virtual void list_ends() = 0;
   virtual void list_failed(Nanos now) = 0;
   virtual void sequence_came(Nanos now, int seq, int type, int tenant, std::uint64_t session,
@@ -40,7 +41,6 @@
   virtual void stream_began(Nanos now, int seq, int attempt, Nanos took) = 0;
   virtual void attempt_ended(Nanos now, int seq, int attempt, Outcome outcome, Nanos took, bool closed,
                              double kept, const Report& report) = 0;
-  virtual void probe_answered(Nanos now, int worker, bool passed, const Report& report) = 0;
   virtual void woke(Nanos now) = 0;
 };
 
--- a/src/state.h
+++ b/src/state.h
@@ -36,11 +36,18 @@
   double memory_share{-1};  // negative where not reported
 };
 
+struct Pace {  // decayed sums: tokens read and the seconds that took
+  double tokens{};
+  double seconds{};
+  Nanos at{};
+};
+
 struct Attempt {
   int worker{};
   bool reads{};
   bool out{};
   bool begun{};     // its stream flows
+  bool presumed{};  // sent to the session's home, of which the table knew nothing
   bool given_up{};  // cancelled, or no longer waited for
   Nanos sent{};
   Nanos expected{};   // how long it should take
@@ -74,6 +81,7 @@
 
 struct Worker {
   bool known{};
+  std::uint64_t identity{};
   Standing standing{};
   Role role{};
   int kind{};
@@ -98,15 +106,11 @@
   double sequences{-1};
   double own_at_report{};
   double memory_share{-1};
-  double rate_tokens{};  // decayed sums: tokens read and the time that took
-  double rate_time{};
-  Nanos rate_at{};
+  Pace pace{};
   double first_wait{};  // smoothed wait for a first token here
   double first_count{};
   double cold_credit{};  // sends a cold worker may still get
   Nanos cold_credit_at{};
-  bool probe_out{};
-  Nanos probed{};
 };
 
 struct Holding {
@@ -120,10 +124,9 @@
   std::vector<int> live;            // in order of arrival
   std::vector<Worker> workers;      // by small index
   std::unordered_map<std::uint64_t, std::vector<Holding>> holders;
-  double limit{};        // sequences in flight before their first token
-  double rate_tokens{};  // decayed sums over all readers, as in Worker
-  double rate_time{};
-  Nanos rate_at{};
+  double home_trust{};  // smoothed share of a prompt that homes turned out to hold
+  double limit{};       // sequences in flight before their first token
+  Pace pace{};
   double read_tokens{};  // smoothed work of one read
   Nanos limit_cut{};
   double strain{};  // smoothed share of the latency SLO from the read's start to the first token
--- a/tests/trace.h
+++ b/tests/trace.h
@@ -41,7 +41,8 @@
       : name_(std::move(name)), policy_(make_policy(d, 7, 0, *this)) {
     policy_->list_begins(0, true);
     for (int w = 0; w < readers + writers; ++w)
-      policy_->worker_listed(w, Standing::ready, 0, w < readers ? 0 : 1, d.zone, 0);
+      policy_->worker_listed(w, static_cast<std::uint64_t>(w), Standing::ready, 0, w < readers ? 0 : 1,
+                             d.zone, 0);
     policy_->list_ends();
   }
   ~Trace() override {
@@ -93,7 +94,7 @@
     line() << "worker " << worker << " listed " << words[static_cast<int>(standing)]
            << (started > 0 ? ", just started" : "") << '\n';
     policy_->list_begins(now_, false);
-    policy_->worker_listed(worker, standing, started, kind, zone, cell);
+    policy_->worker_listed(worker, static_cast<std::uint64_t>(worker), standing, started, kind, zone, cell);
     policy_->list_ends();
   }
   // One sequence from first to last, in 150 ms, over whichever workers are chosen.
@@ -118,7 +119,6 @@
   }
   void abort(int seq) override { line() << "  abort " << seq << '\n'; }
   void move(int seq) override { line() << "  move " << seq << '\n'; }
-  void probe(int worker) override { line() << "  probe " << worker << '\n'; }
   void subscribe() override { line() << "  subscribe\n"; }
   void wake(Nanos) override {}
   void forget_sequence(int seq) override { line() << "  forget " << seq << '\n'; }
