--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -21,11 +21,12 @@
 constexpr Nanos kMemory =
     10 * kSecond;  // decay of learned rates: long against a read, short against a trouble
 constexpr Nanos kReportLife = 3 * kSecond;  // an older load report says no more than the average
-constexpr double kFirstRate = 10'000;   // tokens read a second, until answers tell: outweighed by one read
-constexpr double kPriorTokens = 4'000;  // a worker's own rate counts fully once it has read some prompts
-constexpr double kNear = 0.1;           // holders tie within this share of the read's time
-constexpr double kTieBand = 0.25;       // writers tie within this share of their memory
-constexpr double kRoom = 0.92;          // fuller writers push their newest answers back into the queue
+constexpr double kFirstRate = 10'000;       // tokens read a second, until answers tell,
+constexpr double kPriorTokens = 1'000;      // given the weight of one short read
+constexpr double kPriorSeconds = 0.2;       // and a reader's own speed that of reads of so long
+constexpr double kNear = 0.1;               // holders tie within this share of the read's time
+constexpr double kTieBand = 0.25;           // writers tie within this share of their memory
+constexpr double kRoom = 0.92;              // fuller writers push their newest answers back into the queue
 constexpr double kOthersRead = 0.5;  // of what others hold at a reader, half is read and waits for its fetch
 constexpr double kSmooth = 0.1;      // weight of a new sample in a smoothed wait
 constexpr double kLate = 3;          // an attempt is late past this multiple of what it should take,
@@ -38,8 +39,8 @@
 constexpr double kLeastLimit = 2;
 constexpr double kCut = 0.7;  // and is cut by a share, at most once in
 constexpr Nanos kCutEvery = 500 * kMs;
-constexpr double kPatience = 0.4;      // share of the latency SLO that a sequence may wait in line
-constexpr double kPart = 0.4;          // share of it that may pass from the read's start to the first token
+constexpr double kPatience = 0.2;      // share of the latency SLO that a sequence may wait in line
+constexpr double kPart = 0.5;          // share of it that may pass from the read's start to the first token
 constexpr double kStrainWeight = 0.2;  // of a new sample: some answers tell, not one
 constexpr double kFirstTrust = 0.3;    // share of a prompt that a session's home may hold, until answers tell
 constexpr double kColdCare = 0.5;      // share of the cold budget that is used: others guess too
@@ -159,13 +160,9 @@
     Attempt& a = q.attempts[static_cast<std::size_t>(attempt)];
     Worker& w = at(a.worker);
     a.out = false;
-    --w.out;
     if (!a.begun) --w.pending;
-    if (a.reads) {
-      w.read_tokens = std::max(0.0, w.read_tokens - a.tokens);
-    } else {
-      w.stream_tokens = std::max(0.0, w.stream_tokens - a.tokens);
-    }
+    double& load = a.reads ? w.read_tokens : w.stream_tokens;
+    load = std::max(0.0, load - a.tokens);
     const bool silent = w.heard < a.sent;
     if (report.heard) note_report(w, report);
     judge(w, outcome, silent, a.given_up);
@@ -231,9 +228,8 @@
 
   // Workers: what ails them.
 
-  // Guards against machines that vanish or hang and against cut links: attempts are overdue and the worker
-  // has said nothing since they were sent. Can harm a lone worker in one long step; it is back after its time
-  // aside.
+  // Guards against machines that vanish or hang and against cut links: attempts are overdue, and nothing was
+  // heard since they were sent. Can harm a lone worker in one long step; it is back after its time aside.
   bool fell_silent(const Worker& w) const {
     if (w.pending == 0 || w.aside_until > now_) return false;
     for (const int id : s_.live)
@@ -382,8 +378,7 @@
     q.pinned_since = kNever;
   }
 
-  // After an attempt that brought nothing: back to the line, or to the choice of a writer while the state
-  // waits.
+  // After an attempt that brought nothing: back to the line or, while the state waits, to the choice of a writer.
   void go_back(Sequence& q, const Attempt& a, Outcome outcome) {
     if (outcome == Outcome::read_done || outcome == Outcome::generated) return;
     if (a.reads || outcome == Outcome::no_state || q.pinned_since == kNever) {
@@ -396,8 +391,7 @@
 
   void read_ended(Sequence& q, const Attempt& a, Worker& w, Nanos took, double kept) {
     const double read = std::max(1.0, q.prompt - kept);
-    learn(w.pace, a.ahead + read, took);
-    learn(s_.pace, a.ahead + read, took);
+    learn(w, a.ahead + read, seconds(took));
     smooth(s_.read_tokens, read);
     if (a.presumed) smooth(s_.home_trust, kept / std::max(1.0, q.prompt));
     smooth(s_.read_wait, seconds(took));
@@ -412,10 +406,6 @@
     q.pinned_since = now_;
     ++w.states;
   }
-  void learn(Pace& pace, double read, Nanos took) {
-    const double keep = decay(now_ - pace.at);
-    pace = {pace.tokens * keep + read, pace.seconds * keep + seconds(took), now_};
-  }
 
   // The read: DESIGN's load pick and the holder's lead against it.
 
@@ -432,24 +422,24 @@
   void read(Sequence& q) {
     if (!has_readers()) return write(q);  // mixed workers, or writers that read: one attempt does both
     const std::vector<int> usable = candidates(q, true);
-    const auto load = [&](int w) { return wait(at(w)) + s_.read_tokens / rate(at(w)) + far(at(w)); };
+    const auto load = [&](int w) { return wait(at(w)) + s_.read_tokens * per_token(at(w)) + far(at(w)); };
     const int by_load = sample(
-        usable, [&](int w) { return -load(w); }, kNear * s_.read_tokens / rate());
-    const double base = load(by_load);
+        usable, [&](int w) { return -load(w); }, kNear * s_.read_tokens * per_token());
     const int home = home_of(q);
     const auto lead = [&](int w) {
       return std::max(promise(q, w).tokens, w == home ? s_.home_trust * q.prompt : 0);
     };
     std::vector<int> holders;
-    const auto gain = [&](int w) { return (lead(w) - lead(by_load)) / rate(at(w)) - (load(w) - base); };
+    const auto gain = [&](int w) {
+      return (lead(w) - lead(by_load)) * per_token(at(w)) - (load(w) - load(by_load));
+    };
     for (const int w : usable)
       if (gain(w) > 0) holders.push_back(w);
-    const int reader = holders.empty() ? by_load : sample(holders, gain, kNear * q.prompt / rate());
-    q.reader = reader;
+    q.reader = holders.empty() ? by_load : sample(holders, gain, kNear * q.prompt * per_token());
     q.stage = Stage::reading;
     q.read_at = now_;
-    send(q, reader, true);
-    q.attempts.back().presumed = reader == home;
+    send(q, q.reader, true);
+    q.attempts.back().presumed = q.reader == home;
   }
   // Departure: a session that the table does not know may have been read through another router. All routers
   // name the same reader for it, by a hash; that reader is taken to hold what such readers turned out to hold.
@@ -480,31 +470,49 @@
       if ((left -= 1 / (waiting(at(w)) + 1)) <= 0) return w;
     return near.back();
   }
-  double rate() const {
-    return (s_.pace.tokens + kPriorTokens / 4) / (s_.pace.seconds + kPriorTokens / 4 / kFirstRate);
-  }
-  double rate(const Worker& w) const {
-    const double keep = decay(now_ - w.pace.at);
-    return (w.pace.tokens * keep + kPriorTokens) / (w.pace.seconds * keep + kPriorTokens / rate());
+  // What a read takes, learned from answers: a line through the fleet's reads (seconds a token, and a part that
+  // does not grow with the tokens), and for each reader how far it lies off that line.
+  void learn(Worker& w, double tokens, double took) {
+    const double keep = decay(now_ - w.paced_at), should = overhead() + tokens * per_token();
+    w.took = w.took * keep + took;
+    w.should_take = w.should_take * keep + should;
+    w.paced_at = now_;
+    const double k = decay(now_ - s_.line.at);
+    const Line& l = s_.line;
+    s_.line = {
+        l.n * k + 1, l.x * k + tokens, l.t * k + took, l.xx * k + tokens * tokens, l.xt * k + tokens * took,
+        now_};
+  }
+  double per_token() const {
+    const Line& l =
+        s_.line;  // with two points ahead of the answers: nothing at once, kPriorTokens at kFirstRate
+    const double n = l.n + 2, x = l.x + kPriorTokens, t = l.t + kPriorTokens / kFirstRate;
+    const double xx = l.xx + kPriorTokens * kPriorTokens,
+                 xt = l.xt + kPriorTokens * kPriorTokens / kFirstRate;
+    return std::max(1e-6, (n * xt - x * t) / (n * xx - x * x));
+  }
+  double overhead() const { return std::max(0.0, (s_.line.t - per_token() * s_.line.x) / (s_.line.n + 1)); }
+  double per_token(const Worker& w) const {
+    const double keep = decay(now_ - w.paced_at);
+    return per_token() * (w.took * keep + kPriorSeconds) / (w.should_take * keep + kPriorSeconds);
   }
   // What others hold at a reader, by its report; an unheard one is as the average.
   double others(const Worker& w) const {
     const auto heard = [&](const Worker& x) { return x.sequences >= 0 && now_ - x.reported < kReportLife; };
     const auto count = [](const Worker& x) { return std::max(0.0, x.sequences - x.own_at_report); };
     if (heard(w)) return count(w);
-    double total = 0;
-    int readers = 0;
+    double total = 0, readers = 0;
     for (const Worker& x : s_.workers)
       if (listed(x) && x.role == w.role && heard(x)) total += count(x), ++readers;
-    return readers > 0 ? total / readers : 0;
+    return total / std::max(1.0, readers);
   }
   double waiting(const Worker& w) const { return w.pending + kOthersRead * others(w); }
   double wait(const Worker& w) const {
-    return (w.read_tokens + kOthersRead * others(w) * s_.read_tokens) / rate(w);
+    return (w.read_tokens + kOthersRead * others(w) * s_.read_tokens) * per_token(w);
   }
   // Crossing zones costs a share of the utility: as much as so much waiting.
   double far(const Worker& w) const {
-    return w.zone == d_.zone ? 0 : d_.cross_zone_price + kNear * s_.read_tokens / rate();
+    return w.zone == d_.zone ? 0 : d_.cross_zone_price + kNear * s_.read_tokens * per_token();
   }
 
   // The write: DESIGN's pick by memory, after the read, with its tie order.
@@ -562,10 +570,7 @@
     if (static_cast<int>(q.attempts.size()) + (reads ? 2 : 1) > d_.attempts_cap) return false;
     if (now_ >= q.abandon_at - 2 * d_.tick - kPulse) return false;  // rule 1
     for (const Attempt& a : q.attempts)
-      if (a.out && (!d_.second_copies || !a.reads) && type(q).effect != Effect::repeatable)
-        return false;
-      else if (a.out && !d_.second_copies)
-        return false;
+      if (a.out && !d_.second_copies) return false;
     return reads || stays_in_group(q, w);  // rule 2
   }
   std::vector<int> candidates(const Sequence& q, bool reads) const {
@@ -607,7 +612,7 @@
       a.promised_at = held.at;
       a.tokens = q.prompt - a.promised;
       a.ahead = w.read_tokens;
-      a.expected = nanos(wait(w) + a.tokens / rate(w));
+      a.expected = nanos(overhead() + wait(w) + a.tokens * per_token(w));
       w.read_tokens += a.tokens;
     } else {
       a.tokens = stream_size(q);
@@ -624,7 +629,6 @@
     for (double& sends : s_.sends) sends *= keep;
     s_.sends_at = now_;
     s_.sends[w.role == Role::reader] += 1;
-    ++w.out;
     ++w.pending;
     q.attempts.push_back(a);
     const bool last = static_cast<int>(q.attempts.size()) + (reads ? 2 : 1) > d_.attempts_cap;
@@ -676,9 +680,8 @@
     return true;
   }
   void cut_limit() {
-    if (now_ - s_.limit_cut < kCutEvery) return;
-    s_.limit_cut = now_;
-    s_.limit = std::max(kLeastLimit, s_.limit * kCut);
+    if (now_ - s_.limit_cut >= kCutEvery)
+      s_.limit = std::max(kLeastLimit, s_.limit * kCut), s_.limit_cut = now_;
   }
   double chance() {  // permuted congruential generator, 32 bits out
     const std::uint64_t old = s_.chance;
--- a/src/state.h
+++ b/src/state.h
@@ -36,9 +36,12 @@
   double memory_share{-1};  // negative where not reported
 };
 
-struct Pace {  // decayed sums: tokens read and the seconds that took
-  double tokens{};
-  double seconds{};
+struct Line {  // decayed sums for a line through (tokens, seconds)
+  double n{};
+  double x{};
+  double t{};
+  double xx{};
+  double xt{};
   Nanos at{};
 };
 
@@ -96,8 +99,7 @@
   bool on_trial{};   // back from being aside, one sequence at a time until it answers
   double strikes{};  // failures, ageing with every success
   Nanos full_until{};
-  int out{};               // own attempts out, streams too
-  int pending{};           // of these, neither read nor begun to stream
+  int pending{};           // own attempts out, neither read nor begun to stream
   int states{};            // own states that wait here
   double read_tokens{};    // own tokens waiting to be read here
   double stream_tokens{};  // own tokens held or on their way here
@@ -106,7 +108,9 @@
   double sequences{-1};
   double own_at_report{};
   double memory_share{-1};
-  Pace pace{};
+  double took{};  // decayed sums: seconds its reads took, and should have taken
+  double should_take{};
+  Nanos paced_at{};
   double first_wait{};  // smoothed wait for a first token here
   double first_count{};
   double cold_credit{};  // sends a cold worker may still get
@@ -124,9 +128,9 @@
   std::vector<int> live;            // in order of arrival
   std::vector<Worker> workers;      // by small index
   std::unordered_map<std::uint64_t, std::vector<Holding>> holders;
-  double home_trust{};  // smoothed share of a prompt that homes turned out to hold
-  double limit{};       // sequences in flight before their first token
-  Pace pace{};
+  double home_trust{};   // smoothed share of a prompt that homes turned out to hold
+  double limit{};        // sequences in flight before their first token
+  Line line{};           // what reads take, all readers
   double read_tokens{};  // smoothed work of one read
   Nanos limit_cut{};
   double strain{};  // smoothed share of the latency SLO from the read's start to the first token
