--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -378,7 +378,7 @@
     q.pinned_since = kNever;
   }
 
-  // After an attempt that brought nothing: back to the line or, while the state waits, to the choice of a writer.
+  // After an attempt that brought nothing: back in line or, while the state waits, to the choice of a writer.
   void go_back(Sequence& q, const Attempt& a, Outcome outcome) {
     if (outcome == Outcome::read_done || outcome == Outcome::generated) return;
     if (a.reads || outcome == Outcome::no_state || q.pinned_since == kNever) {
@@ -395,8 +395,8 @@
     smooth(s_.read_tokens, read);
     if (a.presumed) smooth(s_.home_trust, kept / std::max(1.0, q.prompt));
     smooth(s_.read_wait, seconds(took));
-    // Guards against leads that are gone (a flush, a full memory, a restart that no one told): where this key was
-    // dropped, keys that were last read there before it are gone too.
+    // Guards against leads that are gone (a flush, a full memory, a restart that no one told): where this key
+    // was dropped, keys that were last read there before it are gone too.
     if (kept < a.promised / 2) w.void_before = std::max(w.void_before, a.promised_at + 1);
     hold(q.session, a.worker, q.prompt);
     hold(q.beginning, a.worker, q.beginning_tokens);
@@ -442,13 +442,13 @@
     q.attempts.back().presumed = q.reader == home;
   }
   // Departure: a session that the table does not know may have been read through another router. All routers
-  // name the same reader for it, by a hash; that reader is taken to hold what such readers turned out to hold.
+  // name the same reader for it, by a hash; it is taken to hold what such readers turned out to hold.
   int home_of(const Sequence& q) const {
     if (q.session == 0 || s_.holders.contains(q.session)) return -1;
     int home = -1;
     std::uint64_t most = 0;
     for (int w = 0; w < static_cast<int>(s_.workers.size()); ++w) {
-      if (!listed(at(w)) || at(w).role != Role::reader) continue;
+      if (!serves(at(w), true) || !listed(at(w)) || at(w).aside_until > now_) continue;
       std::uint64_t mixed = (q.session ^ at(w).identity * 0x9e3779b97f4a7c15u) * 0xbf58476d1ce4e5b9u;
       mixed = (mixed ^ mixed >> 31) * 0x94d049bb133111ebu >> 1;
       if (at(w).zone == d_.zone) mixed |= 1ull << 63;  // clients come again in their zone
@@ -470,8 +470,8 @@
       if ((left -= 1 / (waiting(at(w)) + 1)) <= 0) return w;
     return near.back();
   }
-  // What a read takes, learned from answers: a line through the fleet's reads (seconds a token, and a part that
-  // does not grow with the tokens), and for each reader how far it lies off that line.
+  // What a read takes, learned from answers: a line through the fleet's reads (seconds a token, and a part
+  // that does not grow with the tokens), and for each reader how far it lies off that line.
   void learn(Worker& w, double tokens, double took) {
     const double keep = decay(now_ - w.paced_at), should = overhead() + tokens * per_token();
     w.took = w.took * keep + took;
