While readers are short, the least to read goes first from the line

Cause: when kept prompts are lost the readers have several times the work, and the line by SLO let big unread prompts in front of small kept ones. May harm long prompts while it acts; they are rejected at once and may come again.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -121,6 +121,7 @@
     q.slo_at = now + t.slo + static_cast<Nanos>(prompt / 1000 * static_cast<double>(t.slo_per_1000));
     q.abandon_at = abandon_at;
     q.pinned_since = kNever;
+    q.to_read = to_read(q);
     s_.live.push_back(seq);
     run();
   }
@@ -215,14 +216,8 @@
           if ((this->*rule.when)(q)) (this->*rule.then)(q), fired = true;
         }
     }
-    if (d_.asks_for_list && now_ - s_.list_asked > d_.must_ask_in / 2) {
-      out_.subscribe();
-      s_.list_asked = now_;
-    }
-    if (!s_.live.empty() && s_.woken_at <= now_) {
-      s_.woken_at = now_ + kPulse;
-      out_.wake(kPulse);
-    }
+    if (d_.asks_for_list && now_ - s_.list_asked > d_.must_ask_in / 2) s_.list_asked = now_, out_.subscribe();
+    if (!s_.live.empty() && s_.woken_at <= now_) s_.woken_at = now_ + kPulse, out_.wake(kPulse);
     sweep_holders();
   }
 
@@ -345,16 +340,14 @@
     if (q.stage != Stage::waiting && q.stage != Stage::read) return false;
     const int needed = q.stage == Stage::waiting && has_readers() ? 2 : 1;
     return static_cast<int>(q.attempts.size()) + needed > d_.attempts_cap ||
-           (q.maybe_ran && type(q).effect == Effect::once_only) || now_ + usual(q) > q.abandon_at;
+           (q.maybe_ran && type(q).effect == Effect::once_only) ||
+           now_ + nanos(s_.first_wait + (needed - 1) * s_.read_wait) > q.abandon_at;
   }
   bool too_long_in_line(const Sequence& q) const {
     return q.stage == Stage::waiting &&
            static_cast<double>(now_ - q.came) > kPatience * static_cast<double>(q.slo_at - q.came) &&
            (q.attempts.empty() || now_ > q.slo_at);
   }
-  Nanos usual(const Sequence& q) const {
-    return nanos(s_.first_wait + (q.stage == Stage::waiting ? s_.read_wait : 0));
-  }
 
   void give_up(Sequence& q) {
     const TrafficType& t = type(q);
@@ -415,23 +408,32 @@
       if (sequence(id).stage == Stage::waiting && before(sequence(id), q)) return false;
     return !candidates(q, has_readers()).empty();
   }
+  // By latency SLO; while readers are what is short, the least to read first, so that most are answered.
   bool before(const Sequence& a, const Sequence& b) const {
     if (a.in_share != b.in_share) return a.in_share;
+    const bool readers_short = s_.strain > kPart / 2 && s_.read_wait > s_.first_wait;
+    if (readers_short && a.to_read != b.to_read) return a.to_read < b.to_read;
     return a.slo_at != b.slo_at ? a.slo_at < b.slo_at : a.id < b.id;
   }
+  double to_read(const Sequence& q) const {
+    double most = 0;
+    const int home = home_of(q);
+    for (int w = 0; w < static_cast<int>(s_.workers.size()); ++w)
+      if (serves(at(w), true) && listed(at(w))) most = std::max(most, lead(q, w, home));
+    return q.prompt - most;
+  }
+  double lead(const Sequence& q, int w, int home) const {
+    return std::max(promise(q, w).tokens, w == home ? s_.home_trust * q.prompt : 0);
+  }
   void read(Sequence& q) {
     if (!has_readers()) return write(q);  // mixed workers, or writers that read: one attempt does both
     const std::vector<int> usable = candidates(q, true);
-    const auto load = [&](int w) { return wait(at(w)) + s_.read_tokens * per_token(at(w)) + far(at(w)); };
-    const int by_load = sample(
-        usable, [&](int w) { return -load(w); }, kNear * s_.read_tokens * per_token());
+    const auto ease = [&](int w) { return -wait(at(w)) - s_.read_tokens * per_token(at(w)) - far(at(w)); };
+    const int by_load = sample(usable, ease, kNear * s_.read_tokens * per_token());
     const int home = home_of(q);
-    const auto lead = [&](int w) {
-      return std::max(promise(q, w).tokens, w == home ? s_.home_trust * q.prompt : 0);
-    };
     std::vector<int> holders;
     const auto gain = [&](int w) {
-      return (lead(w) - lead(by_load)) * per_token(at(w)) - (load(w) - load(by_load));
+      return (lead(q, w, home) - lead(q, by_load, home)) * per_token(at(w)) + ease(w) - ease(by_load);
     };
     for (const int w : usable)
       if (gain(w) > 0) holders.push_back(w);
@@ -536,7 +538,7 @@
   }
   double memory(const Worker& w) const {
     const double tokens = d_.kinds[static_cast<std::size_t>(w.kind)].memory_tokens;
-    return tokens > 0 ? tokens : 1e5;
+    return tokens > 0 ? tokens : 1e9;  // not told: no bound
   }
   double fullness(const Worker& w) const {
     if (w.memory_share < 0 || now_ - w.reported > kReportLife) return w.stream_tokens / memory(w);
@@ -621,10 +623,7 @@
       w.since_report += a.tokens;
       if (!q.maybe_ran) q.maybe_ran_at = worker, q.maybe_ran_since = now_;
     }
-    if (cold(w)) {
-      w.cold_credit = cold_credit(w) - 1;
-      w.cold_credit_at = now_;
-    }
+    if (cold(w)) w.cold_credit = cold_credit(w) - 1, w.cold_credit_at = now_;
     const double keep = decay(now_ - s_.sends_at);
     for (double& sends : s_.sends) sends *= keep;
     s_.sends_at = now_;
--- a/src/state.h
+++ b/src/state.h
@@ -65,6 +65,7 @@
   Stage stage{};
   int type{};
   bool in_share{};
+  double to_read{};  // tokens that no reader is thought to hold
   std::uint64_t session{};
   std::uint64_t beginning{};
   double prompt{};
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -169,6 +169,33 @@
   t.ended(0, 0, Outcome::read_done);
 }
 
+TEST_CASE("slow first tokens cut the limit; then the least to read goes first") {
+  Trace t("read_bound", small_deployment(), 1, 2);
+  for (int seq = 0; seq < 8; ++seq) t.came(seq, 0, 3000, 9000);
+  for (int seq = 0; seq < 8; ++seq) {
+    t.until(1300 + 80 * seq);
+    t.ended(seq, 0, Outcome::read_done);
+    t.until(1320 + 80 * seq);
+    t.began(seq, 1);
+  }
+  for (int seq = 8; seq < 16; ++seq) t.came(seq, 0, 5000 - 300 * seq, 9000);  // the last has least to read
+  t.until(2000);
+  t.ended(8, 0, Outcome::read_done);
+  t.until(2020);
+  t.began(8, 1);
+}
+
+TEST_CASE("a session of another router goes to its home, or to the next one where that is aside") {
+  Trace t("home", small_deployment(), 3, 1);
+  for (int seq = 0; seq < 3; ++seq) t.whole(seq, 77 + static_cast<std::uint64_t>(seq), 5000, 4800);
+  t.came(3, 80, 5000);
+  t.ended(3, 0, Outcome::connection_lost);
+  t.until(t.now_ms() + 50);
+  t.left(3);
+  t.came(4, 80, 5000);
+  t.came(5, 81, 5000);
+}
+
 TEST_CASE("no readers: mixed workers do both with one attempt") {
   Deployment d = small_deployment();
   d.kinds[1].role = Role::mixed;
