--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -42,7 +42,7 @@
 constexpr double kPatience = 0.2;      // share of the latency SLO that a sequence may wait in line
 constexpr double kPart = 0.5;          // share of it that may pass from the read's start to the first token
 constexpr double kStrainWeight = 0.2;  // of a new sample: some answers tell, not one
-constexpr double kFirstTrust = 0.3;    // share of a prompt that a session's home may hold, until answers tell
+constexpr double kFirstTrust = 0.5;    // share of a prompt that a session's home may hold, until answers tell
 constexpr double kColdCare = 0.5;      // share of the cold budget that is used: others guess too
 constexpr double kShareBurst = 2;      // seconds of a tenant's share that may come at once
 
