A read's lateness counts the promised tokens once, as a promise may fail

Should also hold for a restart that no one tells. Costs up to one read time until a dead reader is left.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -614,7 +614,8 @@
       a.promised_at = held.at;
       a.tokens = q.prompt - a.promised;
       a.ahead = w.read_tokens;
-      a.expected = nanos(overhead() + wait(w) + a.tokens * per_token(w));
+      // A promise may fail: its tokens count once, or a flush would make all readers look dead.
+      a.expected = nanos(overhead() + wait(w) + (a.tokens + a.promised / kLate) * per_token(w));
       w.read_tokens += a.tokens;
     } else {
       a.tokens = stream_size(q);
