--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -263,7 +263,7 @@
     if (outcome == Outcome::full || outcome == Outcome::no_state || outcome == Outcome::error) w.heard = now_;
     if (outcome == Outcome::generated || outcome == Outcome::read_done) answered(w);
     if (outcome == Outcome::error) w.strikes += w.on_trial ? kStrikesOut : 1;
-    if (outcome == Outcome::timed_out && (silent || w.on_trial)) w.strikes += kStrikesOut;
+    if (outcome == Outcome::timed_out && silent) w.strikes += kStrikesOut;
     if (lost) w.down_since = std::min(w.down_since, now_ - kAside);
     if (lost && !given_up) w.strikes += kStrikesOut;
   }
