--- a/simhost/host.cpp
+++ b/simhost/host.cpp
@@ -155,7 +155,6 @@
     record(2).number(sequences_.id(seq), 8).f64(millis(retry_after));
   }
   void abort(int seq) override { record(3).number(sequences_.id(seq), 8); }
-  void move(int seq) override { record(6).number(sequences_.id(seq), 8); }
   void subscribe() override { record(10).number(1, 1); }
   void wake(Nanos after) override { record(15).number(0, 4).f64(millis(after)); }
   void forget_sequence(int seq) override { sequences_.forget(seq); }
--- a/simhost/profile.cpp
+++ b/simhost/profile.cpp
@@ -83,7 +83,6 @@
 
 void decode_types(const Reader& from, Deployment& to) {
   const std::vector<double> per_1000 = from.numbers("familyInfo.aimUsPer1000PromptTokens");
-  const std::vector<double> token_ms = from.numbers("familyInfo.tokenAimMs");
   const auto count = static_cast<std::size_t>(from.number("services.count"));
   for (std::size_t i = 0; i < count; ++i) {
     const std::string base = "services." + std::to_string(i) + ".";
@@ -97,7 +96,6 @@
     type.window = nanos(from.number_or_zero(base + "windowMs"));
     type.slo = nanos(from.number(base + "goalTimeMs"));
     type.slo_per_1000 = nanos(at(per_1000, i) / 1000.0);
-    type.token_slo = nanos(at(token_ms, i));
     type.utility = from.number(base + "worth");
     to.types.push_back(type);
   }
@@ -154,8 +152,6 @@
   d.second_copies = from.flag("caps.parallelTries");
   d.retry_after = from.flag("caps.retryAfter");
   d.max_retry_after = nanos(from.number_or_zero("caps.maxRetryAfterMs"));
-  d.resume = from.flag("familyInfo.resume");
-  d.writers_read = from.flag("familyInfo.selfPrefill");
   d.asks_for_list = from.find("discovery") == "subscribe";
   d.must_ask_in = nanos(from.number_or_zero("obligations.mustAskInMs"));
   d.cross_zone_price = from.number_or_zero("prices.crossZone");
--- a/src/deployment.h
+++ b/src/deployment.h
@@ -13,7 +13,6 @@
   Nanos window{};        // how long a tokened repeat is recognised
   Nanos slo{};           // latency SLO for an empty prompt
   Nanos slo_per_1000{};  // added to it for each thousand prompt tokens
-  Nanos token_slo{};     // SLO between two tokens of the answer
   double utility{};
 };
 
@@ -34,8 +33,6 @@
   bool second_copies{};
   bool retry_after{};
   Nanos max_retry_after{};
-  bool resume{};
-  bool writers_read{};   // a writer without a state reads the prompt itself
   bool asks_for_list{};  // the list comes only to those that subscribe
   Nanos must_ask_in{};
   double cross_zone_price{};
--- a/src/policy.h
+++ b/src/policy.h
@@ -18,7 +18,6 @@
   virtual void cancel(int seq, int attempt) = 0;
   virtual void reject(int seq, Nanos retry_after) = 0;
   virtual void abort(int seq) = 0;
-  virtual void move(int seq) = 0;  // hands a begun stream back to its client
   virtual void subscribe() = 0;
   virtual void wake(Nanos after) = 0;
   virtual void forget_sequence(int seq) = 0;  // the index may be handed out again
--- a/tests/trace.h
+++ b/tests/trace.h
@@ -20,7 +20,7 @@
 // Two readers (workers 0 and 1) and two writers (2 and 3), one zone, nothing reported unless a test says so.
 inline Deployment small_deployment() {
   Deployment d;
-  d.types.push_back({Effect::repeatable, Group::all, 0, 1500 * kMs, 40 * kMs, 60 * kMs, 1});
+  d.types.push_back({Effect::repeatable, Group::all, 0, 1500 * kMs, 40 * kMs, 1});
   d.kinds = {{Role::reader, 200'000}, {Role::writer, 100'000}};
   d.routers = 1;
   d.tick = 2 * kMs;
@@ -118,7 +118,6 @@
     line() << "  reject " << seq << (after > 0 ? ", come back later" : "") << '\n';
   }
   void abort(int seq) override { line() << "  abort " << seq << '\n'; }
-  void move(int seq) override { line() << "  move " << seq << '\n'; }
   void subscribe() override { line() << "  subscribe\n"; }
   void wake(Nanos) override {}
   void forget_sequence(int seq) override { line() << "  forget " << seq << '\n'; }
