--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -229,8 +229,7 @@
     if (w.pending == 0 || w.aside_until > now_) return false;
     for (const int id : s_.live)
       for (const Attempt& a : sequence(id).attempts)
-        if (unanswered(a) && &at(a.worker) == &w && w.heard < a.sent &&
-            now_ - a.sent > kGrace + nanos(kLate * seconds(a.expected)))
+        if (unanswered(a) && &at(a.worker) == &w && w.heard < a.sent && now_ - a.sent > late_after(a))
           return true;
     return false;
   }
@@ -632,7 +631,7 @@
     ++w.pending;
     q.attempts.push_back(a);
     const bool last = static_cast<int>(q.attempts.size()) + (reads ? 2 : 1) > d_.attempts_cap;
-    out_.send(q.id, worker, last ? 0 : kGrace + nanos(kLate * seconds(a.expected)));
+    out_.send(q.id, worker, last ? 0 : late_after(a));
   }
 
   // The holder table.
@@ -695,6 +694,7 @@
     for (const int id : s_.live) count += open(sequence(id)) && sequence(id).stage != Stage::waiting;
     return count;
   }
+  Nanos late_after(const Attempt& a) const { return kGrace + nanos(kLate * seconds(a.expected)); }
   bool open(const Sequence& q) const { return q.stage != Stage::streaming && q.stage != Stage::over; }
   bool listed(const Worker& w) const { return w.known && w.standing == Standing::ready; }
   bool serves(const Worker& w, bool reads) const { return reads == (w.role == Role::reader); }
--- a/src/state.h
+++ b/src/state.h
@@ -112,8 +112,6 @@
   double took{};  // decayed sums: seconds its reads took, and should have taken
   double should_take{};
   Nanos paced_at{};
-  double first_wait{};  // smoothed wait for a first token here
-  double first_count{};
   double cold_credit{};  // sends a cold worker may still get
   Nanos cold_credit_at{};
 };
