--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -16,10 +16,9 @@
 
 constexpr Nanos kMs = 1'000'000;
 constexpr Nanos kSecond = 1'000 * kMs;
-constexpr Nanos kPulse = 10 * kMs;        // rules that wait for a time are looked at this often
-constexpr Nanos kKeptFor = 60 * kSecond;  // a holder entry lapses: about a session's life
-constexpr Nanos kMemory =
-    10 * kSecond;  // decay of learned rates: long against a read, short against a trouble
+constexpr Nanos kPulse = 10 * kMs;          // rules that wait for a time are looked at this often
+constexpr Nanos kKeptFor = 60 * kSecond;    // a holder entry lapses: about a session's life
+constexpr Nanos kMemory = 10 * kSecond;     // decay of what is learned: long against a read and an answer
 constexpr Nanos kReportLife = 3 * kSecond;  // an older load report says no more than the average
 constexpr double kFirstRate = 10'000;       // tokens read a second, until answers tell,
 constexpr double kPriorTokens = 1'000;      // given the weight of one short read
@@ -122,6 +121,7 @@
     q.abandon_at = abandon_at;
     q.pinned_since = kNever;
     q.to_read = to_read(q);
+    q.luck = chance();
     s_.live.push_back(seq);
     run();
   }
@@ -139,6 +139,7 @@
     Worker& w = at(a.worker);
     --w.pending;
     a.begun = true;
+    s_.answers[w.role == Role::reader] += 1;
     answered(w);
     state_gone(q);
     smooth(s_.first_wait, seconds(took));
@@ -260,6 +261,7 @@
     const bool lost = outcome == Outcome::connection_lost || outcome == Outcome::connect_failed;
     if (outcome == Outcome::full) w.full_until = now_ + kFullRest;
     if (outcome == Outcome::full || outcome == Outcome::no_state || outcome == Outcome::error) w.heard = now_;
+    if (outcome == Outcome::read_done) s_.answers[1] += 1;
     if (outcome == Outcome::generated || outcome == Outcome::read_done) answered(w);
     if (outcome == Outcome::error) w.strikes += w.on_trial ? kStrikesOut : 1;
     if (outcome == Outcome::timed_out && silent) w.strikes += kStrikesOut;
@@ -285,18 +287,22 @@
     w.since_report = 0;
   }
 
-  // Sends that a cold worker may still get: a share of what a warm one of its role gets, by the slowest climb
-  // that the settings allow.
-  double cold_credit(const Worker& w) const {
+  // Guards rule 4 with any number of routers: each lets the same part of its own sends near a cold worker, by
+  // chance, so that all together send it what a warm one answers times what it can surely take by now. Nothing
+  // is saved up: a hundred routers that each kept one send would spend them at once.
+  double cold_part(const Worker& w) const {
     const double climbed = std::clamp(seconds(now_ - w.cold_since) / seconds(d_.ramp_time), 0.0, 1.0);
     const double capacity = d_.cold_from + (1 - d_.cold_from) * climbed * climbed;
-    const double share = std::min(1.0, kColdCare * d_.fall_multiple * capacity);
-    int peers = 0;
+    double warm = 0, all = 0;
     for (const Worker& other : s_.workers)
-      if (listed(other) && other.role == w.role && !cold(other)) ++peers;
-    const double per_peer = s_.sends[w.role == Role::reader] / seconds(kMemory) / std::max(1, peers);
-    const double rate = std::max(share * per_peer, d_.cold_from / seconds(d_.fall_span));
-    return std::min(2.0, w.cold_credit + rate * seconds(now_ - std::max(w.cold_credit_at, w.cold_since)));
+      if (listed(other) && other.role == w.role) ++all, warm += !cold(other);
+    const std::size_t reads = w.role == Role::reader;
+    const double answers = (s_.answers[reads] + 1) / (s_.sends[reads] + 1);
+    return std::min(1.0, kColdCare * d_.fall_multiple * capacity) * answers / (warm > 0 ? warm : all);
+  }
+  bool cold_turn(const Sequence& q, const Worker& w) const {
+    const double drawn = q.luck + 0.618034 * static_cast<double>(q.attempts.size() + w.identity);
+    return drawn - std::floor(drawn) < cold_part(w);
   }
 
   // Sequences: the ordinary path and its ends.
@@ -478,15 +484,12 @@
     w.took = w.took * keep + took;
     w.should_take = w.should_take * keep + should;
     w.paced_at = now_;
-    const double k = decay(now_ - s_.line.at);
     const Line& l = s_.line;
-    s_.line = {
-        l.n * k + 1, l.x * k + tokens, l.t * k + took, l.xx * k + tokens * tokens, l.xt * k + tokens * took,
-        now_};
+    const double k = decay(now_ - l.at), xx = tokens * tokens, xt = tokens * took;
+    s_.line = {l.n * k + 1, l.x * k + tokens, l.t * k + took, l.xx * k + xx, l.xt * k + xt, now_};
   }
   double per_token() const {
-    const Line& l =
-        s_.line;  // with two points ahead of the answers: nothing at once, kPriorTokens at kFirstRate
+    const Line& l = s_.line;  // two points ahead of the answers: nothing at once, kPriorTokens at kFirstRate
     const double n = l.n + 2, x = l.x + kPriorTokens, t = l.t + kPriorTokens / kFirstRate;
     const double xx = l.xx + kPriorTokens * kPriorTokens,
                  xt = l.xt + kPriorTokens * kPriorTokens / kFirstRate;
@@ -526,12 +529,16 @@
     double best = 1e18;
     for (const int w : usable) best = std::min(best, fullness(at(w)));
     const int cell = q.reader < 0 ? -1 : at(q.reader).cell, zone = q.reader < 0 ? d_.zone : at(q.reader).zone;
-    const auto order = [&](int w) {
+    // What still ties goes by chance: by index, a hundred routers would all name the same writer.
+    using Rank = std::tuple<bool, bool, bool, double, double>;
+    int writer = -1;
+    Rank first;
+    for (const int w : usable) {
       const Worker& x = at(w);
-      return std::tuple(fullness(x) > best + kTieBand, x.cell != cell, x.zone != zone, x.stream_tokens);
-    };
-    const int writer =
-        *std::min_element(usable.begin(), usable.end(), [&](int a, int b) { return order(a) < order(b); });
+      const Rank rank{fullness(x) > best + kTieBand, x.cell != cell, x.zone != zone, x.stream_tokens,
+                      chance()};
+      if (writer < 0 || rank < first) writer = w, first = rank;
+    }
     q.stage = Stage::writing;
     send(q, writer, false);
   }
@@ -539,9 +546,15 @@
     const double tokens = d_.kinds[static_cast<std::size_t>(w.kind)].memory_tokens;
     return tokens > 0 ? tokens : 1e9;  // not told: no bound
   }
+  // An unheard writer is as the average of those heard, and an old report drifts there.
   double fullness(const Worker& w) const {
-    if (w.memory_share < 0 || now_ - w.reported > kReportLife) return w.stream_tokens / memory(w);
-    return w.memory_share + w.since_report / memory(w);
+    double heard = 0, sum = 0;
+    for (const Worker& x : s_.workers)
+      if (x.known && x.role == w.role && x.memory_share >= 0)
+        heard += decay(now_ - x.reported), sum += decay(now_ - x.reported) * x.memory_share;
+    if (heard == 0) return w.stream_tokens * d_.routers / memory(w);
+    const double told = w.memory_share < 0 ? 0 : decay(now_ - w.reported);
+    return sum / heard * (1 - told) + (told > 0 ? told * w.memory_share : 0) + w.since_report / memory(w);
   }
   // Guards against states that mount at readers while writers are full: reads are held back while what this
   // router has on its way would not fit its part of the writers' free memory.
@@ -549,9 +562,7 @@
     double room = 0, coming = stream_size(q);
     for (const Worker& w : s_.workers)
       if (listed(w) && w.role != Role::reader && w.aside_until <= now_) {
-        const bool told = w.memory_share >= 0 && now_ - w.reported <= kReportLife;
-        const double held = told ? fullness(w) : fullness(w) * d_.routers;
-        room += std::max(0.0, kRoom - held) * memory(w) / d_.routers;
+        room += std::max(0.0, kRoom - fullness(w)) * memory(w) / d_.routers;
       }
     for (const int id : s_.live) {
       const Stage stage = sequence(id).stage;
@@ -567,7 +578,7 @@
     if (w.aside_until > now_ && (w.down_since != kNever || enough_left(w))) return false;
     if (w.on_trial && w.pending > 0) return false;
     if (w.full_until > now_) return false;
-    if (cold(w) && cold_credit(w) < 1) return false;  // rule 4
+    if (cold(w) && !cold_turn(q, w)) return false;  // rule 4
     if (static_cast<int>(q.attempts.size()) + (reads ? 2 : 1) > d_.attempts_cap) return false;
     if (now_ >= q.abandon_at - 2 * d_.tick - kPulse) return false;  // rule 1
     for (const Attempt& a : q.attempts)
@@ -623,9 +634,8 @@
       w.since_report += a.tokens;
       if (!q.maybe_ran) q.maybe_ran_at = worker, q.maybe_ran_since = now_;
     }
-    if (cold(w)) w.cold_credit = cold_credit(w) - 1, w.cold_credit_at = now_;
     const double keep = decay(now_ - s_.sends_at);
-    for (double& sends : s_.sends) sends *= keep;
+    for (std::size_t i = 0; i < 2; ++i) s_.sends[i] *= keep, s_.answers[i] *= keep;
     s_.sends_at = now_;
     s_.sends[w.role == Role::reader] += 1;
     ++w.pending;
--- a/src/state.h
+++ b/src/state.h
@@ -65,6 +65,7 @@
   Stage stage{};
   int type{};
   bool in_share{};
+  double luck{};     // drawn once, decides which cold workers it may go to
   double to_read{};  // tokens that no reader is thought to hold
   std::uint64_t session{};
   std::uint64_t beginning{};
@@ -112,8 +113,6 @@
   double took{};  // decayed sums: seconds its reads took, and should have taken
   double should_take{};
   Nanos paced_at{};
-  double cold_credit{};  // sends a cold worker may still get
-  Nanos cold_credit_at{};
 };
 
 struct Holding {
@@ -137,6 +136,7 @@
   double first_wait{};  // smoothed wait for a first token at a writer
   double read_wait{};   // smoothed time of a read
   double sends[2]{};    // decayed counts of sends to writers and to readers
+  double answers[2]{};  // and of those that brought a first token or a read
   Nanos sends_at{};
   std::vector<double> tenant_credit;
   Nanos tenant_credit_at{};
