--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -41,28 +41,28 @@
 constexpr double kPatience = 0.2;      // share of the latency SLO that a sequence may wait in line
 constexpr double kPart = 0.5;          // share of it that may pass from the read's start to the first token
 constexpr double kStrainWeight = 0.2;  // of a new sample: some answers tell, not one
-constexpr double kFirstTrust = 0.5;    // share of a prompt that a session's home may hold, until answers tell
-constexpr double kColdCare = 0.5;      // share of the cold budget that is used: others guess too
-constexpr double kShareBurst = 2;      // seconds of a tenant's share that may come at once
+constexpr double kHomes = 4;   // readers that share a beginning: a hot or a lost one does not matter much,
+constexpr double kSpread = 2;  // and more, so that it takes no more than this part (1 / 2) of each
+constexpr double kFirstTrust = 0.5;  // share of a prompt that a session's home may hold, until answers tell
+constexpr double kColdCare = 0.5;    // share of the cold budget that is used: others guess too
 
 double seconds(Nanos t) { return static_cast<double>(t) / static_cast<double>(kSecond); }
 Nanos nanos(double s) { return static_cast<Nanos>(s * static_cast<double>(kSecond)); }
 double decay(Nanos since) { return std::exp(-seconds(since) / seconds(kMemory)); }
 void smooth(double& value, double sample) { value += kSmooth * (sample - value); }
+void blend(Mean& m, double sample) { m.n += 1, m.value += std::max(kSmooth, 1 / m.n) * (sample - m.value); }
 
 class Router final : public Policy {
  public:
   Router(const Deployment& deployment, std::uint64_t seed, Nanos now, Actions& actions)
       : d_(deployment), out_(actions), now_(now) {
-    s_.chance_step = seed << 1 | 1;
-    s_.chance = seed;
+    s_.chance = seed, s_.chance_step = seed << 1 | 1;
     s_.limit = kFirstLimit;
     s_.read_tokens = kPriorTokens;
     s_.home_trust = kFirstTrust;
-    s_.first_wait = seconds(kGrace);
-    s_.read_wait = seconds(kGrace);
-    s_.tenant_credit.assign(d_.tenant_rates.size(), 0);
-    s_.tenant_credit_at = now - nanos(kShareBurst);
+    s_.first_wait = s_.read_wait = seconds(kGrace);
+    s_.tenant_came.resize(d_.tenant_rates.size());
+    s_.tenant_at.resize(d_.tenant_rates.size());
     s_.list_asked = now - d_.must_ask_in;
   }
 
@@ -78,29 +78,21 @@
       s_.workers.resize(static_cast<std::size_t>(worker) + 1);
     Worker& w = at(worker);
     if (!w.known) {
-      w = Worker{};
-      w.known = true;
-      w.identity = identity;
-      w.down_since = w.cold_since = kNever;
-      w.started = started;
-      if (started > 0) w.cold_since = started;
+      w = {.known = true, .identity = identity, .started = started, .down_since = kNever};
+      w.cold_since = started > 0 ? started : kNever;
     } else if (started > w.started) {  // restarted: empty, cold, and whatever ailed it is gone
       w.started = w.void_before = started;
       if (w.cold_since == kNever || w.cold_since < started) w.cold_since = started;
       if (w.aside_until > now_) w.aside_until = now_;
       w.memory_share = w.sequences = -1;
     }
-    w.standing = standing;
-    w.kind = kind;
+    w.standing = standing, w.kind = kind, w.zone = zone, w.cell = cell;
     w.role = d_.kinds[static_cast<std::size_t>(kind)].role;
-    w.zone = zone;
-    w.cell = cell;
   }
 
   void list_ends() override { run(); }
 
   void list_failed(Nanos now) override { now_ = now; }  // it is asked for again in time
-
   void sequence_came(Nanos now, int seq, int type, int tenant, std::uint64_t session, std::uint64_t beginning,
                      double prompt, double beginning_tokens, double max_out, Nanos abandon_at) override {
     now_ = now;
@@ -108,20 +100,12 @@
     Sequence& q = s_.sequences[static_cast<std::size_t>(seq)];
     const TrafficType& t = d_.types[static_cast<std::size_t>(type)];
     q = Sequence{};
-    q.id = seq;
-    q.type = type;
-    q.in_share = take_share(tenant);
-    q.session = session;
-    q.beginning = beginning;
-    q.prompt = prompt;
-    q.beginning_tokens = beginning_tokens;
-    q.max_out = max_out;
-    q.came = now;
-    q.slo_at = now + t.slo + static_cast<Nanos>(prompt / 1000 * static_cast<double>(t.slo_per_1000));
-    q.abandon_at = abandon_at;
+    q.id = seq, q.type = type, q.in_share = take_share(tenant), q.luck = chance();
+    q.session = session, q.beginning = beginning, q.beginning_tokens = beginning_tokens;
+    q.prompt = prompt, q.max_out = max_out, q.came = now, q.abandon_at = abandon_at;
+    q.slo_at = now + t.slo + nanos(prompt / 1000 * seconds(t.slo_per_1000));
     q.pinned_since = kNever;
     q.to_read = to_read(q);
-    q.luck = chance();
     s_.live.push_back(seq);
     run();
   }
@@ -137,11 +121,9 @@
     Sequence& q = sequence(seq);
     Attempt& a = q.attempts[static_cast<std::size_t>(attempt)];
     Worker& w = at(a.worker);
-    --w.pending;
+    --w.pending, ++s_.answers[0];
     a.begun = true;
-    s_.answers[w.role == Role::reader] += 1;
-    answered(w);
-    state_gone(q);
+    answered(w), state_gone(q);
     smooth(s_.first_wait, seconds(took));
     if (q.stage == Stage::over) return run();
     // Guards against queues that build where no one says full (prompts not kept any more, long answers, lost
@@ -166,13 +148,15 @@
     double& load = a.reads ? w.read_tokens : w.stream_tokens;
     load = std::max(0.0, load - a.tokens);
     const bool silent = w.heard < a.sent;
+    a.full = outcome == Outcome::full;
     if (report.heard) note_report(w, report);
     judge(w, outcome, silent, a.given_up);
     if (outcome == Outcome::read_done) read_ended(q, a, w, took, kept);
+    if (outcome == Outcome::timed_out && !a.reads) smooth(s_.first_wait, seconds(took));
     if (!a.reads && (outcome == Outcome::error || outcome == Outcome::timed_out ||
                      outcome == Outcome::connection_lost || outcome == Outcome::cancelled))
       q.maybe_ran = true;
-    if (outcome == Outcome::full || (outcome == Outcome::timed_out && !silent)) cut_limit();
+    if (outcome == Outcome::timed_out && !silent) cut_limit();
     if (closed) finish(q);
     if (q.stage != Stage::over && !a.given_up) go_back(q, a, outcome);
     if (q.pinned_since != kNever) q.pinned_since = now;
@@ -236,7 +220,6 @@
   }
   void set_aside_and_leave(Worker& w) {
     set_aside(w);
-    if (w.down_since == kNever) w.down_since = now_;
     for (const int id : s_.live) {
       Sequence& q = sequence(id);
       for (Attempt& a : q.attempts)
@@ -251,8 +234,7 @@
   bool struck_out(const Worker& w) const { return w.strikes >= kStrikesOut && w.aside_until <= now_; }
   void set_aside(Worker& w) {
     w.aside_until = now_ + kAside + nanos(seconds(kAsideSpread) * chance());
-    w.on_trial = true;
-    w.strikes = 0;
+    w.on_trial = true, w.strikes = 0;
   }
 
   bool cold(const Worker& w) const { return w.cold_since != kNever && now_ < w.cold_since + d_.ramp_time; }
@@ -261,18 +243,17 @@
     const bool lost = outcome == Outcome::connection_lost || outcome == Outcome::connect_failed;
     if (outcome == Outcome::full) w.full_until = now_ + kFullRest;
     if (outcome == Outcome::full || outcome == Outcome::no_state || outcome == Outcome::error) w.heard = now_;
-    if (outcome == Outcome::read_done) s_.answers[1] += 1;
+    if (outcome == Outcome::read_done) ++s_.answers[1];
     if (outcome == Outcome::generated || outcome == Outcome::read_done) answered(w);
     if (outcome == Outcome::error) w.strikes += w.on_trial ? kStrikesOut : 1;
     if (outcome == Outcome::timed_out && silent) w.strikes += kStrikesOut;
-    if (lost) w.down_since = std::min(w.down_since, now_ - kAside);
+    if (outcome == Outcome::connection_lost) w.down_since = now_ - kAside;
     if (lost && !given_up) w.strikes += kStrikesOut;
   }
 
   void answered(Worker& w) {
     w.heard = now_;
-    w.strikes /= 2;
-    w.on_trial = false;
+    w.strikes /= 2, w.on_trial = false;
     if (w.aside_until > now_) w.aside_until = now_;
     // Guards rule 4 where the list is late: what was down and answers again has just started.
     if (w.down_since <= now_ - kAside) w.cold_since = w.void_before = now_;
@@ -285,11 +266,13 @@
     w.memory_share = report.memory_share;
     w.own_at_report = w.pending + w.states;
     w.since_report = 0;
+    const auto role = static_cast<std::size_t>(w.role);
+    if (report.memory_share >= 0) blend(s_.memory_shares[role], report.memory_share);
+    if (report.sequences >= 0) blend(s_.others[role], std::max(0.0, w.sequences - w.own_at_report));
   }
 
   // Guards rule 4 with any number of routers: each lets the same part of its own sends near a cold worker, by
-  // chance, so that all together send it what a warm one answers times what it can surely take by now. Nothing
-  // is saved up: a hundred routers that each kept one send would spend them at once.
+  // chance and with nothing saved up, so that all together send it a part of what a warm one answers.
   double cold_part(const Worker& w) const {
     const double climbed = std::clamp(seconds(now_ - w.cold_since) / seconds(d_.ramp_time), 0.0, 1.0);
     const double capacity = d_.cold_from + (1 - d_.cold_from) * climbed * climbed;
@@ -308,7 +291,7 @@
   // Sequences: the ordinary path and its ends.
 
   bool still_asked(const Sequence& q) const {
-    return !open(q) && std::any_of(q.attempts.begin(), q.attempts.end(), unanswered);
+    return !open(q) && std::ranges::any_of(q.attempts, unanswered);
   }
   void stop_asking(Sequence& q) {
     for (Attempt& a : q.attempts)
@@ -322,16 +305,19 @@
   }
 
   bool done_with(const Sequence& q) const {
-    return q.stage == Stage::over &&
-           std::none_of(q.attempts.begin(), q.attempts.end(), [](const Attempt& a) { return a.out; });
+    return q.stage == Stage::over && std::ranges::none_of(q.attempts, &Attempt::out);
   }
   void forget(Sequence& q) {
-    for (const Attempt& a : q.attempts)
-      if (a.given_up) out_.let_go(q.id);  // its state may have come after all
+    drop_strays(q);
     s_.live.erase(std::find(s_.live.begin(), s_.live.end(), q.id));
     out_.forget_sequence(q.id);
   }
 
+  // Rule 5: the state of a read that was left may have come after all.
+  void drop_strays(Sequence& q) {
+    if (std::ranges::any_of(q.attempts, &Attempt::given_up)) out_.let_go(q.id);
+  }
+
   // Rule 1: the last moment at which an answer is surely in time.
   bool nearly_abandoned(const Sequence& q) const {
     return open(q) && now_ >= q.abandon_at - 2 * d_.tick - kPulse;
@@ -381,6 +367,7 @@
     if (outcome == Outcome::read_done || outcome == Outcome::generated) return;
     if (a.reads || outcome == Outcome::no_state || q.pinned_since == kNever) {
       state_gone(q);
+      drop_strays(q);
       q.stage = Stage::waiting;
     } else {
       q.stage = Stage::read;
@@ -391,17 +378,19 @@
     const double read = std::max(1.0, q.prompt - kept);
     learn(w, a.ahead + read, seconds(took));
     smooth(s_.read_tokens, read);
-    if (a.presumed) smooth(s_.home_trust, kept / std::max(1.0, q.prompt));
+    const double own = q.prompt - q.beginning_tokens + 1;
+    if (a.presumed) smooth(s_.home_trust, std::max(-1.0, (kept - q.beginning_tokens) / own));
     smooth(s_.read_wait, seconds(took));
     // Guards against leads that are gone (a flush, a full memory, a restart that no one told): where this key
     // was dropped, keys that were last read there before it are gone too.
     if (kept < a.promised / 2) w.void_before = std::max(w.void_before, a.promised_at + 1);
+    ++s_.reads;
     hold(q.session, a.worker, q.prompt);
     hold(q.beginning, a.worker, q.beginning_tokens);
-    if (q.stage != Stage::reading || a.given_up) return;
-    q.stage = Stage::read;
-    q.reader = a.worker;
-    q.pinned_since = now_;
+    // A read that was left for late may end first all the same: its state is as good, the other read stops.
+    if (q.stage != Stage::reading && q.stage != Stage::waiting) return;
+    stop_asking(q);
+    q.stage = Stage::read, q.reader = a.worker, q.pinned_since = now_;
     ++w.states;
   }
 
@@ -422,13 +411,13 @@
   }
   double to_read(const Sequence& q) const {
     double most = 0;
-    const int home = home_of(q);
-    for (int w = 0; w < static_cast<int>(s_.workers.size()); ++w)
+    for (int w = 0, home = home_of(q); w < static_cast<int>(s_.workers.size()); ++w)
       if (serves(at(w), true) && listed(at(w))) most = std::max(most, lead(q, w, home));
     return q.prompt - most;
   }
   double lead(const Sequence& q, int w, int home) const {
-    return std::max(promise(q, w).tokens, w == home ? s_.home_trust * q.prompt : 0);
+    const double own = q.prompt - q.beginning_tokens;  // what only this session has
+    return std::max(promise(q, w).tokens, w == home ? q.beginning_tokens + s_.home_trust * own : 0);
   }
   void read(Sequence& q) {
     if (!has_readers()) return write(q);  // mixed workers, or writers that read: one attempt does both
@@ -449,20 +438,30 @@
     q.attempts.back().presumed = q.reader == home;
   }
   // Departure: a session that the table does not know may have been read through another router. All routers
-  // name the same reader for it, by a hash; it is taken to hold what such readers turned out to hold.
+  // name the same reader for it, by a hash, among a few that they name for its beginning, more where that
+  // is asked for often: a large fleet has more beginnings than one reader can keep.
   int home_of(const Sequence& q) const {
     if (q.session == 0 || s_.holders.contains(q.session)) return -1;
+    double near = 1, asked = 0;  // readers of the zone; own reads of this beginning
+    for (const Worker& w : s_.workers) near += listed(w) && w.role == Role::reader && w.zone == d_.zone;
+    if (const auto it = s_.holders.find(q.beginning); it != s_.holders.end())
+      for (const Holding& h : it->second) asked += h.reads;
+    const double part = std::max(kHomes / near, kSpread * asked / (s_.reads + near));
     int home = -1;
-    std::uint64_t most = 0;
+    double most = -1;
     for (int w = 0; w < static_cast<int>(s_.workers.size()); ++w) {
       if (!serves(at(w), true) || !listed(at(w)) || at(w).aside_until > now_) continue;
-      std::uint64_t mixed = (q.session ^ at(w).identity * 0x9e3779b97f4a7c15u) * 0xbf58476d1ce4e5b9u;
-      mixed = (mixed ^ mixed >> 31) * 0x94d049bb133111ebu >> 1;
-      if (at(w).zone == d_.zone) mixed |= 1ull << 63;  // clients come again in their zone
-      if (home < 0 || mixed > most) home = w, most = mixed;
+      const bool shares = q.beginning == 0 || mixed(q.beginning, at(w)) < part;
+      const double rank = mixed(q.session, at(w)) + shares + 2 * (at(w).zone == d_.zone);
+      if (rank > most) home = w, most = rank;  // clients come again in their zone
     }
     return home;
   }
+  static double mixed(std::uint64_t key, const Worker& w) {
+    std::uint64_t mixed = (key ^ w.identity * 0x9e3779b97f4a7c15u) * 0xbf58476d1ce4e5b9u;
+    mixed = (mixed ^ mixed >> 31) * 0x94d049bb133111ebu;
+    return static_cast<double>(mixed >> 11) / 9007199254740992.0;
+  }
   // Among those within a margin of the best, by chance with weight 1 / (waiting + 1).
   template <class Score>
   int sample(const std::vector<int>& from, Score score, double margin) {
@@ -500,15 +499,10 @@
     const double keep = decay(now_ - w.paced_at);
     return per_token() * (w.took * keep + kPriorSeconds) / (w.should_take * keep + kPriorSeconds);
   }
-  // What others hold at a reader, by its report; an unheard one is as the average.
+  // What others hold at a reader.
   double others(const Worker& w) const {
-    const auto heard = [&](const Worker& x) { return x.sequences >= 0 && now_ - x.reported < kReportLife; };
-    const auto count = [](const Worker& x) { return std::max(0.0, x.sequences - x.own_at_report); };
-    if (heard(w)) return count(w);
-    double total = 0, readers = 0;
-    for (const Worker& x : s_.workers)
-      if (listed(x) && x.role == w.role && heard(x)) total += count(x), ++readers;
-    return total / std::max(1.0, readers);
+    const double reported = w.sequences < 0 ? -1 : std::max(0.0, w.sequences - w.own_at_report);
+    return drifted(w, reported, s_.others[static_cast<std::size_t>(w.role)], kReportLife);
   }
   double waiting(const Worker& w) const { return w.pending + kOthersRead * others(w); }
   double wait(const Worker& w) const {
@@ -546,24 +540,23 @@
     const double tokens = d_.kinds[static_cast<std::size_t>(w.kind)].memory_tokens;
     return tokens > 0 ? tokens : 1e9;  // not told: no bound
   }
-  // An unheard writer is as the average of those heard, and an old report drifts there.
   double fullness(const Worker& w) const {
-    double heard = 0, sum = 0;
-    for (const Worker& x : s_.workers)
-      if (x.known && x.role == w.role && x.memory_share >= 0)
-        heard += decay(now_ - x.reported), sum += decay(now_ - x.reported) * x.memory_share;
-    if (heard == 0) return w.stream_tokens * d_.routers / memory(w);
-    const double told = w.memory_share < 0 ? 0 : decay(now_ - w.reported);
-    return sum / heard * (1 - told) + (told > 0 ? told * w.memory_share : 0) + w.since_report / memory(w);
+    const Mean& mean = s_.memory_shares[static_cast<std::size_t>(w.role)];
+    if (mean.n == 0) return w.stream_tokens * d_.routers / memory(w);
+    return drifted(w, w.memory_share, mean, kMemory) + w.since_report / memory(w);
+  }
+  // An unheard worker is as the average of those heard, and an old report drifts there.
+  double drifted(const Worker& w, double reported, const Mean& mean, Nanos life) const {
+    const double left = reported < 0 ? 0 : std::exp(-seconds(now_ - w.reported) / seconds(life));
+    return mean.value + left * (reported - mean.value);
   }
   // Guards against states that mount at readers while writers are full: reads are held back while what this
   // router has on its way would not fit its part of the writers' free memory.
   bool has_room(const Sequence& q) const {
     double room = 0, coming = stream_size(q);
     for (const Worker& w : s_.workers)
-      if (listed(w) && w.role != Role::reader && w.aside_until <= now_) {
+      if (listed(w) && w.role != Role::reader && w.aside_until <= now_)
         room += std::max(0.0, kRoom - fullness(w)) * memory(w) / d_.routers;
-      }
     for (const int id : s_.live) {
       const Stage stage = sequence(id).stage;
       if (stage == Stage::reading || stage == Stage::read) coming += stream_size(sequence(id));
@@ -589,11 +582,16 @@
     std::vector<int> usable;
     for (int w = 0; w < static_cast<int>(s_.workers.size()); ++w)
       if (serves(at(w), reads) && may_send(q, at(w), reads)) usable.push_back(w);
+    // Guards against workers that say full to one storefront or type only, though they have room.
+    const auto turned_away = [&](int w) {
+      return std::ranges::any_of(q.attempts, [&](const Attempt& a) { return a.full && a.worker == w; });
+    };
+    if (!std::ranges::all_of(usable, turned_away)) std::erase_if(usable, turned_away);
     return usable;
   }
   bool may_have_run(const Sequence& q) const {
-    return q.maybe_ran || std::any_of(q.attempts.begin(), q.attempts.end(),
-                                      [](const Attempt& a) { return a.out && !a.reads; });
+    const auto runs = [](const Attempt& a) { return a.out && !a.reads; };
+    return q.maybe_ran || std::ranges::any_of(q.attempts, runs);
   }
   bool stays_in_group(const Sequence& q, const Worker& w) const {
     const TrafficType& t = type(q);
@@ -613,17 +611,11 @@
   void send(Sequence& q, int worker, bool reads) {
     Worker& w = at(worker);
     if (!may_send(q, w, reads)) return;
-    Attempt a;
-    a.worker = worker;
-    a.reads = reads;
-    a.out = true;
-    a.sent = now_;
+    Attempt a{.worker = worker, .reads = reads, .out = true, .sent = now_};
     if (reads) {
       const Holding held = promise(q, worker);
-      a.promised = held.tokens;
-      a.promised_at = held.at;
-      a.tokens = q.prompt - a.promised;
-      a.ahead = w.read_tokens;
+      a.promised = held.tokens, a.promised_at = held.at;
+      a.tokens = q.prompt - a.promised, a.ahead = w.read_tokens;
       // A promise may fail: its tokens count once, or a flush would make all readers look dead.
       a.expected = nanos(overhead() + wait(w) + (a.tokens + a.promised / kLate) * per_token(w));
       w.read_tokens += a.tokens;
@@ -634,11 +626,7 @@
       w.since_report += a.tokens;
       if (!q.maybe_ran) q.maybe_ran_at = worker, q.maybe_ran_since = now_;
     }
-    const double keep = decay(now_ - s_.sends_at);
-    for (std::size_t i = 0; i < 2; ++i) s_.sends[i] *= keep, s_.answers[i] *= keep;
-    s_.sends_at = now_;
-    s_.sends[w.role == Role::reader] += 1;
-    ++w.pending;
+    ++s_.sends[reads], ++w.pending;
     q.attempts.push_back(a);
     const bool last = static_cast<int>(q.attempts.size()) + (reads ? 2 : 1) > d_.attempts_cap;
     out_.send(q.id, worker, last ? 0 : late_after(a));
@@ -649,24 +637,29 @@
   void hold(std::uint64_t key, int worker, double tokens) {
     if (key == 0 || tokens <= 0) return;
     std::vector<Holding>& list = s_.holders[key];
-    std::erase_if(list, [&](const Holding& h) { return h.worker == worker; });
-    list.push_back({worker, tokens, now_});
+    for (Holding& h : list)
+      if (h.worker == worker) return void(h = {worker, tokens, now_, h.reads + 1});
+    list.push_back({worker, tokens, now_, 1});
   }
   // The most that the table says this worker has kept of the prompt.
   Holding promise(const Sequence& q, int worker) const {
-    Holding most{worker, 0, 0};
+    Holding most{worker, 0, 0, 0};
     for (const std::uint64_t key : {q.session, q.beginning}) {
       const auto it = key == 0 ? s_.holders.end() : s_.holders.find(key);
       if (it == s_.holders.end()) continue;
       for (const Holding& h : it->second)
         if (h.worker == worker && h.at >= at(worker).void_before && now_ - h.at < kKeptFor)
-          if (std::min(h.tokens, q.prompt) > most.tokens) most = {worker, std::min(h.tokens, q.prompt), h.at};
+          if (h.tokens > most.tokens) most = {worker, std::min(h.tokens, q.prompt), h.at, 0};
     }
     return most;
   }
   void sweep_holders() {
     if (now_ - s_.holders_swept < kKeptFor / 4) return;
     s_.holders_swept = now_;
+    s_.reads /= 2;
+    for (std::size_t i = 0; i < 2; ++i) s_.sends[i] /= 2, s_.answers[i] /= 2;
+    for (auto& [key, list] : s_.holders)
+      for (Holding& h : list) h.reads /= 2;
     std::erase_if(s_.holders, [&](const auto& entry) {
       return std::none_of(entry.second.begin(), entry.second.end(),
                           [&](const Holding& h) { return now_ - h.at < kKeptFor; });
@@ -675,18 +668,14 @@
 
   // Small helpers.
 
+  // By chance, so that the smallest part of a share means something too.
   bool take_share(int tenant) {
-    for (std::size_t i = 0; i < s_.tenant_credit.size(); ++i) {
-      const double share = d_.tenant_rates[i] / d_.routers;
-      double& credit = s_.tenant_credit[i];
-      credit = std::min(credit + share * seconds(now_ - s_.tenant_credit_at), share * kShareBurst);
-    }
-    s_.tenant_credit_at = now_;
-    if (tenant >= static_cast<int>(s_.tenant_credit.size())) return true;
-    double& credit = s_.tenant_credit[static_cast<std::size_t>(tenant)];
-    if (credit < 1) return false;
-    credit -= 1;
-    return true;
+    if (tenant >= static_cast<int>(d_.tenant_rates.size())) return true;
+    const auto i = static_cast<std::size_t>(tenant);
+    const double keep = std::exp(-seconds(now_ - s_.tenant_at[i]) / seconds(kKeptFor));
+    s_.tenant_came[i] = s_.tenant_came[i] * keep + 1;
+    s_.tenant_at[i] = now_;
+    return chance() * s_.tenant_came[i] <= 1 + d_.tenant_rates[i] / d_.routers * seconds(kKeptFor);
   }
   void cut_limit() {
     if (now_ - s_.limit_cut >= kCutEvery)
@@ -709,8 +698,8 @@
   bool listed(const Worker& w) const { return w.known && w.standing == Standing::ready; }
   bool serves(const Worker& w, bool reads) const { return reads == (w.role == Role::reader); }
   bool has_readers() const {
-    return std::any_of(s_.workers.begin(), s_.workers.end(),
-                       [&](const Worker& w) { return listed(w) && w.role == Role::reader; });
+    const auto reads = [&](const Worker& w) { return listed(w) && w.role == Role::reader; };
+    return std::ranges::any_of(s_.workers, reads);
   }
   const TrafficType& type(const Sequence& q) const { return d_.types[static_cast<std::size_t>(q.type)]; }
   Worker& at(int worker) { return s_.workers[static_cast<std::size_t>(worker)]; }
--- a/src/state.h
+++ b/src/state.h
@@ -36,6 +36,11 @@
   double memory_share{-1};  // negative where not reported
 };
 
+struct Mean {  // smoothed, the first samples in full
+  double value{};
+  double n{};
+};
+
 struct Line {  // decayed sums for a line through (tokens, seconds)
   double n{};
   double x{};
@@ -50,6 +55,7 @@
   bool reads{};
   bool out{};
   bool begun{};     // its stream flows
+  bool full{};      // turned away by a worker that was full
   bool presumed{};  // sent to the session's home, of which the table knew nothing
   bool given_up{};  // cancelled, or no longer waited for
   Nanos sent{};
@@ -81,7 +87,7 @@
   int maybe_ran_at{-1};  // writer of the first attempt not proved idle
   Nanos maybe_ran_since{};
   bool maybe_ran{};  // some ended write attempt may have run
-  std::vector<Attempt> attempts;
+  std::vector<Attempt> attempts{};
 };
 
 struct Worker {
@@ -119,6 +125,7 @@
   int worker{};
   double tokens{};
   Nanos at{};
+  double reads{};  // own reads of it there, ageing
 };
 
 struct Instance {
@@ -126,20 +133,22 @@
   std::vector<int> live;            // in order of arrival
   std::vector<Worker> workers;      // by small index
   std::unordered_map<std::uint64_t, std::vector<Holding>> holders;
-  double home_trust{};   // smoothed share of a prompt that homes turned out to hold
-  double limit{};        // sequences in flight before their first token
-  Line line{};           // what reads take, all readers
-  double read_tokens{};  // smoothed work of one read
+  double reads{};         // own reads, ageing
+  double home_trust{};    // smoothed share of a prompt that homes turned out to hold
+  double limit{};         // sequences in flight before their first token
+  Mean memory_shares[3];  // of the workers heard, by role,
+  Mean others[3];         // and what other routers held there
+  Line line{};            // what reads take, all readers
+  double read_tokens{};   // smoothed work of one read
   Nanos limit_cut{};
   double strain{};  // smoothed share of the latency SLO from the read's start to the first token
   Nanos holders_swept{};
-  double first_wait{};  // smoothed wait for a first token at a writer
-  double read_wait{};   // smoothed time of a read
-  double sends[2]{};    // decayed counts of sends to writers and to readers
-  double answers[2]{};  // and of those that brought a first token or a read
-  Nanos sends_at{};
-  std::vector<double> tenant_credit;
-  Nanos tenant_credit_at{};
+  double first_wait{};              // smoothed wait for a first token at a writer
+  double read_wait{};               // smoothed time of a read
+  double sends[2]{};                // ageing counts of sends to writers and to readers
+  double answers[2]{};              // and of those that brought a first token or a read
+  std::vector<double> tenant_came;  // ageing count of each tenant's sequences
+  std::vector<Nanos> tenant_at;
   Nanos list_asked{};
   Nanos woken_at{};
   std::uint64_t chance{};
