--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -16,16 +16,16 @@
 
 constexpr Nanos kMs = 1'000'000;
 constexpr Nanos kSecond = 1'000 * kMs;
-constexpr Nanos kPulse = 10 * kMs;          // rules that wait for a time are looked at this often
-constexpr Nanos kKeptFor = 60 * kSecond;    // a holder entry lapses: about a session's life
-constexpr Nanos kMemory = 10 * kSecond;     // decay of what is learned: long against a read and an answer
-constexpr Nanos kReportLife = 3 * kSecond;  // an older load report says no more than the average
-constexpr double kFirstRate = 10'000;       // tokens read a second, until answers tell,
-constexpr double kPriorTokens = 1'000;      // given the weight of one short read
-constexpr double kPriorSeconds = 0.2;       // and a reader's own speed that of reads of so long
-constexpr double kNear = 0.1;               // holders tie within this share of the read's time
-constexpr double kTieBand = 0.25;           // writers tie within this share of their memory
-constexpr double kRoom = 0.92;              // fuller writers push their newest answers back into the queue
+constexpr Nanos kPulse = 10 * kMs;        // rules that wait for a time are looked at this often
+constexpr Nanos kKeptFor = 60 * kSecond;  // a holder entry lapses: about a session's life
+constexpr Nanos kMemory = 10 * kSecond;   // decay of what is learned: long against a read and an answer
+constexpr Nanos kReportLife = kSecond;    // an older load report says no more than the average
+constexpr double kFirstRate = 10'000;     // tokens read a second, until answers tell,
+constexpr double kPriorTokens = 1'000;    // given the weight of one short read
+constexpr double kPriorSeconds = 0.2;     // and a reader's own speed that of reads of so long
+constexpr double kNear = 0.1;             // holders tie within this share of the read's time
+constexpr double kTieBand = 0.25;         // writers tie within this share of their memory
+constexpr double kRoom = 0.92;            // fuller writers push their newest answers back into the queue
 constexpr double kOthersRead = 0.5;  // of what others hold at a reader, half is read and waits for its fetch
 constexpr double kSmooth = 0.1;      // weight of a new sample in a smoothed wait
 constexpr double kLate = 3;          // an attempt is late past this multiple of what it should take,
@@ -41,10 +41,10 @@
 constexpr double kPatience = 0.2;      // share of the latency SLO that a sequence may wait in line
 constexpr double kPart = 0.5;          // share of it that may pass from the read's start to the first token
 constexpr double kStrainWeight = 0.2;  // of a new sample: some answers tell, not one
-constexpr double kHomes = 4;   // readers that share a beginning: a hot or a lost one does not matter much,
-constexpr double kSpread = 2;  // and more, so that it takes no more than this part (1 / 2) of each
-constexpr double kFirstTrust = 0.5;  // share of a prompt that a session's home may hold, until answers tell
-constexpr double kColdCare = 0.5;    // share of the cold budget that is used: others guess too
+constexpr double kHomes = 8;           // readers that share a beginning: a hot one must fit, all must be kept
+constexpr double kHomeTrust = 0.8;     // of what only its session has, believed to be kept at its home
+constexpr double kOddSpeed = 2;    // a reader is as fast as the others within this factor: waits are noise
+constexpr double kColdCare = 0.5;  // share of the cold budget that is used: others guess too
 
 double seconds(Nanos t) { return static_cast<double>(t) / static_cast<double>(kSecond); }
 Nanos nanos(double s) { return static_cast<Nanos>(s * static_cast<double>(kSecond)); }
@@ -59,7 +59,6 @@
     s_.chance = seed, s_.chance_step = seed << 1 | 1;
     s_.limit = kFirstLimit;
     s_.read_tokens = kPriorTokens;
-    s_.home_trust = kFirstTrust;
     s_.first_wait = s_.read_wait = seconds(kGrace);
     s_.tenant_came.resize(d_.tenant_rates.size());
     s_.tenant_at.resize(d_.tenant_rates.size());
@@ -378,13 +377,10 @@
     const double read = std::max(1.0, q.prompt - kept);
     learn(w, a.ahead + read, seconds(took));
     smooth(s_.read_tokens, read);
-    const double own = q.prompt - q.beginning_tokens + 1;
-    if (a.presumed) smooth(s_.home_trust, std::max(-1.0, (kept - q.beginning_tokens) / own));
     smooth(s_.read_wait, seconds(took));
     // Guards against leads that are gone (a flush, a full memory, a restart that no one told): where this key
     // was dropped, keys that were last read there before it are gone too.
     if (kept < a.promised / 2) w.void_before = std::max(w.void_before, a.promised_at + 1);
-    ++s_.reads;
     hold(q.session, a.worker, q.prompt);
     hold(q.beginning, a.worker, q.beginning_tokens);
     // A read that was left for late may end first all the same: its state is as good, the other read stops.
@@ -417,7 +413,7 @@
   }
   double lead(const Sequence& q, int w, int home) const {
     const double own = q.prompt - q.beginning_tokens;  // what only this session has
-    return std::max(promise(q, w).tokens, w == home ? q.beginning_tokens + s_.home_trust * own : 0);
+    return std::max(promise(q, w).tokens, w == home ? q.beginning_tokens + kHomeTrust * own : 0);
   }
   void read(Sequence& q) {
     if (!has_readers()) return write(q);  // mixed workers, or writers that read: one attempt does both
@@ -435,23 +431,19 @@
     q.stage = Stage::reading;
     q.read_at = now_;
     send(q, q.reader, true);
-    q.attempts.back().presumed = q.reader == home;
   }
   // Departure: a session that the table does not know may have been read through another router. All routers
-  // name the same reader for it, by a hash, among a few that they name for its beginning, more where that
-  // is asked for often: a large fleet has more beginnings than one reader can keep.
+  // name the same reader for it, by a hash, among a few that they name for its beginning: a large fleet
+  // has more beginnings than one reader can keep. A home that is cold or set aside passes on to the next one.
   int home_of(const Sequence& q) const {
     if (q.session == 0 || s_.holders.contains(q.session)) return -1;
-    double near = 1, asked = 0;  // readers of the zone; own reads of this beginning
+    double near = 1;  // readers of the zone
     for (const Worker& w : s_.workers) near += listed(w) && w.role == Role::reader && w.zone == d_.zone;
-    if (const auto it = s_.holders.find(q.beginning); it != s_.holders.end())
-      for (const Holding& h : it->second) asked += h.reads;
-    const double part = std::max(kHomes / near, kSpread * asked / (s_.reads + near));
     int home = -1;
     double most = -1;
     for (int w = 0; w < static_cast<int>(s_.workers.size()); ++w) {
-      if (!serves(at(w), true) || !listed(at(w)) || at(w).aside_until > now_) continue;
-      const bool shares = q.beginning == 0 || mixed(q.beginning, at(w)) < part;
+      if (!serves(at(w), true) || !listed(at(w)) || at(w).aside_until > now_ || cold(at(w))) continue;
+      const bool shares = q.beginning == 0 || mixed(q.beginning, at(w)) < kHomes / near;
       const double rank = mixed(q.session, at(w)) + shares + 2 * (at(w).zone == d_.zone);
       if (rank > most) home = w, most = rank;  // clients come again in their zone
     }
@@ -497,7 +489,8 @@
   double overhead() const { return std::max(0.0, (s_.line.t - per_token() * s_.line.x) / (s_.line.n + 1)); }
   double per_token(const Worker& w) const {
     const double keep = decay(now_ - w.paced_at);
-    return per_token() * (w.took * keep + kPriorSeconds) / (w.should_take * keep + kPriorSeconds);
+    const double ratio = (w.took * keep + kPriorSeconds) / (w.should_take * keep + kPriorSeconds);
+    return per_token() * (ratio > kOddSpeed || ratio * kOddSpeed < 1 ? ratio : 1);
   }
   // What others hold at a reader.
   double others(const Worker& w) const {
@@ -523,19 +516,29 @@
     double best = 1e18;
     for (const int w : usable) best = std::min(best, fullness(at(w)));
     const int cell = q.reader < 0 ? -1 : at(q.reader).cell, zone = q.reader < 0 ? d_.zone : at(q.reader).zone;
+    // Departure: where a cell's writers are fewer than its readers feed, only their even part stays in the cell.
+    const bool stays = cell < 0 || chance() < even_part(at(q.reader));
     // What still ties goes by chance: by index, a hundred routers would all name the same writer.
     using Rank = std::tuple<bool, bool, bool, double, double>;
     int writer = -1;
     Rank first;
     for (const int w : usable) {
       const Worker& x = at(w);
-      const Rank rank{fullness(x) > best + kTieBand, x.cell != cell, x.zone != zone, x.stream_tokens,
-                      chance()};
+      const bool misfit = stays ? x.cell != cell : x.zone != zone || even_part(x) <= 1;
+      const Rank rank{fullness(x) > best + kTieBand, misfit, x.zone != zone, x.stream_tokens, chance()};
       if (writer < 0 || rank < first) writer = w, first = rank;
     }
     q.stage = Stage::writing;
     send(q, writer, false);
   }
+  // A cell's share of its zone's writers against its share of the zone's readers.
+  double even_part(const Worker& in) const {
+    double all[2]{}, here[2]{};
+    for (const Worker& x : s_.workers)
+      if (listed(x) && x.zone == in.zone)
+        ++all[x.role == Role::reader], here[x.role == Role::reader] += x.cell == in.cell;
+    return here[0] * all[1] / std::max(1.0, here[1] * all[0]);
+  }
   double memory(const Worker& w) const {
     const double tokens = d_.kinds[static_cast<std::size_t>(w.kind)].memory_tokens;
     return tokens > 0 ? tokens : 1e9;  // not told: no bound
@@ -638,28 +641,25 @@
     if (key == 0 || tokens <= 0) return;
     std::vector<Holding>& list = s_.holders[key];
     for (Holding& h : list)
-      if (h.worker == worker) return void(h = {worker, tokens, now_, h.reads + 1});
-    list.push_back({worker, tokens, now_, 1});
+      if (h.worker == worker) return void(h = {worker, tokens, now_});
+    list.push_back({worker, tokens, now_});
   }
   // The most that the table says this worker has kept of the prompt.
   Holding promise(const Sequence& q, int worker) const {
-    Holding most{worker, 0, 0, 0};
+    Holding most{worker, 0, 0};
     for (const std::uint64_t key : {q.session, q.beginning}) {
       const auto it = key == 0 ? s_.holders.end() : s_.holders.find(key);
       if (it == s_.holders.end()) continue;
       for (const Holding& h : it->second)
         if (h.worker == worker && h.at >= at(worker).void_before && now_ - h.at < kKeptFor)
-          if (h.tokens > most.tokens) most = {worker, std::min(h.tokens, q.prompt), h.at, 0};
+          if (h.tokens > most.tokens) most = {worker, std::min(h.tokens, q.prompt), h.at};
     }
     return most;
   }
   void sweep_holders() {
     if (now_ - s_.holders_swept < kKeptFor / 4) return;
     s_.holders_swept = now_;
-    s_.reads /= 2;
     for (std::size_t i = 0; i < 2; ++i) s_.sends[i] /= 2, s_.answers[i] /= 2;
-    for (auto& [key, list] : s_.holders)
-      for (Holding& h : list) h.reads /= 2;
     std::erase_if(s_.holders, [&](const auto& entry) {
       return std::none_of(entry.second.begin(), entry.second.end(),
                           [&](const Holding& h) { return now_ - h.at < kKeptFor; });
--- a/src/state.h
+++ b/src/state.h
@@ -125,7 +125,6 @@
   int worker{};
   double tokens{};
   Nanos at{};
-  double reads{};  // own reads of it there, ageing
 };
 
 struct Instance {
@@ -133,8 +132,6 @@
   std::vector<int> live;            // in order of arrival
   std::vector<Worker> workers;      // by small index
   std::unordered_map<std::uint64_t, std::vector<Holding>> holders;
-  double reads{};         // own reads, ageing
-  double home_trust{};    // smoothed share of a prompt that homes turned out to hold
   double limit{};         // sequences in flight before their first token
   Mean memory_shares[3];  // of the workers heard, by role,
   Mean others[3];         // and what other routers held there
