--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <map>
 #include <tuple>
 
 namespace cressrill {
@@ -151,7 +152,9 @@
     if (report.heard) note_report(w, report);
     judge(w, outcome, silent, a.given_up);
     if (outcome == Outcome::read_done) read_ended(q, a, w, took, kept);
-    if (outcome == Outcome::timed_out && !a.reads) smooth(s_.first_wait, seconds(took));
+    // What was late would have taken so long at least: unlearned, time-outs stay too short in a jam.
+    if (outcome == Outcome::timed_out) smooth(a.reads ? s_.read_wait : s_.first_wait, seconds(took));
+    if (outcome == Outcome::timed_out && a.reads) learn(w, a.ahead + a.tokens, seconds(took));
     if (!a.reads && (outcome == Outcome::error || outcome == Outcome::timed_out ||
                      outcome == Outcome::connection_lost || outcome == Outcome::cancelled))
       q.maybe_ran = true;
@@ -251,8 +254,7 @@
   }
 
   void answered(Worker& w) {
-    w.heard = now_;
-    w.strikes /= 2, w.on_trial = false;
+    w.heard = now_, w.strikes /= 2, w.on_trial = false;
     if (w.aside_until > now_) w.aside_until = now_;
     // Guards rule 4 where the list is late: what was down and answers again has just started.
     if (w.down_since <= now_ - kAside) w.cold_since = w.void_before = now_;
@@ -343,12 +345,8 @@
     const TrafficType& t = type(q);
     const bool may_reject = t.effect == Effect::repeatable || !may_have_run(q) ||
                             (t.effect == Effect::tokened && t.group == Group::all);
-    if (may_reject) {
-      const double part = 0.5 + 0.5 * chance();
-      out_.reject(q.id, d_.retry_after ? nanos(seconds(d_.max_retry_after) * part) : 0);
-    } else {
-      out_.abort(q.id);
-    }
+    const double after = d_.retry_after ? seconds(d_.max_retry_after) * (0.5 + 0.5 * chance()) : 0;
+    may_reject ? out_.reject(q.id, nanos(after)) : out_.abort(q.id);
     finish(q);
   }
   void finish(Sequence& q) {
@@ -437,14 +435,19 @@
   // has more beginnings than one reader can keep. A home that is cold or set aside passes on to the next one.
   int home_of(const Sequence& q) const {
     if (q.session == 0 || s_.holders.contains(q.session)) return -1;
-    double near = 1;  // readers of the zone
-    for (const Worker& w : s_.workers) near += listed(w) && w.role == Role::reader && w.zone == d_.zone;
+    std::map<int, double> readers;  // by zone
+    double all = 1;
+    for (const Worker& w : s_.workers)
+      if (listed(w) && w.role == Role::reader) ++readers[w.zone], ++all;
+    // Zones are uneven: what is past the even part of the zone's readers has its home in another zone.
+    const double even = readers[d_.zone] * static_cast<double>(readers.size()) / all;
+    const bool stays = mixed(q.session, Worker{}) < even;
     int home = -1;
     double most = -1;
     for (int w = 0; w < static_cast<int>(s_.workers.size()); ++w) {
       if (!serves(at(w), true) || !listed(at(w)) || at(w).aside_until > now_ || cold(at(w))) continue;
-      const bool shares = q.beginning == 0 || mixed(q.beginning, at(w)) < kHomes / near;
-      const double rank = mixed(q.session, at(w)) + shares + 2 * (at(w).zone == d_.zone);
+      const bool shares = q.beginning == 0 || mixed(q.beginning, at(w)) * readers[at(w).zone] < kHomes;
+      const double rank = mixed(q.session, at(w)) + shares + 2 * ((at(w).zone == d_.zone) == stays);
       if (rank > most) home = w, most = rank;  // clients come again in their zone
     }
     return home;
@@ -516,7 +519,7 @@
     double best = 1e18;
     for (const int w : usable) best = std::min(best, fullness(at(w)));
     const int cell = q.reader < 0 ? -1 : at(q.reader).cell, zone = q.reader < 0 ? d_.zone : at(q.reader).zone;
-    // Departure: where a cell's writers are fewer than its readers feed, only their even part stays in the cell.
+    // Departure: where a cell's writers are few for its readers, only their even part stays in the cell.
     const bool stays = cell < 0 || chance() < even_part(at(q.reader));
     // What still ties goes by chance: by index, a hundred routers would all name the same writer.
     using Rank = std::tuple<bool, bool, bool, double, double>;
@@ -593,8 +596,7 @@
     return usable;
   }
   bool may_have_run(const Sequence& q) const {
-    const auto runs = [](const Attempt& a) { return a.out && !a.reads; };
-    return q.maybe_ran || std::ranges::any_of(q.attempts, runs);
+    return q.maybe_ran || std::ranges::any_of(q.attempts, [](auto& a) { return a.out && !a.reads; });
   }
   bool stays_in_group(const Sequence& q, const Worker& w) const {
     const TrafficType& t = type(q);
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -261,6 +261,32 @@
   t.came(5, 81, 5000);
 }
 
+TEST_CASE("a zone with few readers leaves the rest of its sessions a home in the other zone") {
+  Trace t("uneven_zones", small_deployment(), 4, 1);
+  for (int w = 1; w < 4; ++w) t.listed(w, Standing::ready, 0, 0, 1, 1);  // one reader here, three there
+  for (int seq = 0; seq < 6; ++seq) t.whole(seq, 90 + static_cast<std::uint64_t>(seq), 5000, 4800);
+}
+
+TEST_CASE("a cell with few writers keeps only an even part of what its readers feed") {
+  Trace t("uneven_cells", small_deployment(), 3, 4);
+  t.listed(2, Standing::ready, 0, 0, 1);
+  for (int w = 4; w < 7; ++w)
+    t.listed(w, Standing::ready, 1, 0, 1);  // 2 readers, 1 writer; 1 reader, 3 writers
+  for (int seq = 0; seq < 8; ++seq) t.whole(seq, 0, 3000);
+}
+
+TEST_CASE("a read that was late makes the next time-out longer") {
+  Trace t("late_learned", small_deployment(), 1, 1);
+  t.until(100);
+  t.came(0, 0, 3000);
+  t.until(1240);
+  t.ended(0, 0, Outcome::timed_out);
+  t.left(0);
+  t.ended(0, 1, Outcome::cancelled);
+  t.until(4500);
+  t.came(1, 0, 3000);
+}
+
 TEST_CASE("no readers: mixed workers do both with one attempt") {
   Deployment d = small_deployment();
   d.kinds[1].role = Role::mixed;
