--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -36,8 +36,8 @@
 constexpr Nanos kAside = 2 * kSecond;   // time set aside, plus a random part up to
 constexpr Nanos kAsideSpread = kSecond;
 constexpr double kFirstLimit = 8;  // in flight before the first token, per router; grows by one
-constexpr double kLeastLimit = 2;
-constexpr double kCut = 0.7;  // and is cut by a share, at most once in
+constexpr double kLeastLimit = 1;  // a router, and a reader over all routers; fewer would idle readers
+constexpr double kCut = 0.7;       // and is cut by a share, at most once in
 constexpr Nanos kCutEvery = 500 * kMs;
 constexpr double kPatience = 0.2;      // share of the latency SLO that a sequence may wait in line
 constexpr double kPart = 0.5;          // share of it that may pass from the read's start to the first token
@@ -61,8 +61,7 @@
     s_.limit = kFirstLimit;
     s_.read_tokens = kPriorTokens;
     s_.first_wait = s_.read_wait = seconds(kGrace);
-    s_.tenant_came.resize(d_.tenant_rates.size());
-    s_.tenant_at.resize(d_.tenant_rates.size());
+    s_.tenant_came.resize(d_.tenant_rates.size()), s_.tenant_at.resize(d_.tenant_rates.size());
     s_.list_asked = now - d_.must_ask_in;
   }
 
@@ -330,7 +329,7 @@
   // No attempt left, or too little time even for what usually takes longest at the coming stage.
   bool hopeless(const Sequence& q) const {
     if (q.stage != Stage::waiting && q.stage != Stage::read) return false;
-    const int needed = q.stage == Stage::waiting && has_readers() ? 2 : 1;
+    const int needed = q.stage == Stage::waiting && readers() > 0 ? 2 : 1;
     return static_cast<int>(q.attempts.size()) + needed > d_.attempts_cap ||
            (q.maybe_ran && type(q).effect == Effect::once_only) ||
            now_ + nanos(s_.first_wait + (needed - 1) * s_.read_wait) > q.abandon_at;
@@ -394,7 +393,7 @@
     if (q.stage != Stage::waiting || in_flight() >= s_.limit || !has_room(q)) return false;
     for (const int id : s_.live)
       if (sequence(id).stage == Stage::waiting && before(sequence(id), q)) return false;
-    return !candidates(q, has_readers()).empty();
+    return !candidates(q, readers() > 0).empty();
   }
   // By latency SLO; while readers are what is short, the least to read first, so that most are answered.
   bool before(const Sequence& a, const Sequence& b) const {
@@ -414,7 +413,7 @@
     return std::max(promise(q, w).tokens, w == home ? q.beginning_tokens + kHomeTrust * own : 0);
   }
   void read(Sequence& q) {
-    if (!has_readers()) return write(q);  // mixed workers, or writers that read: one attempt does both
+    if (readers() == 0) return write(q);  // mixed workers, or writers that read: one attempt does both
     const std::vector<int> usable = candidates(q, true);
     const auto ease = [&](int w) { return -wait(at(w)) - s_.read_tokens * per_token(at(w)) - far(at(w)); };
     const int by_load = sample(usable, ease, kNear * s_.read_tokens * per_token());
@@ -567,7 +566,7 @@
       const Stage stage = sequence(id).stage;
       if (stage == Stage::reading || stage == Stage::read) coming += stream_size(sequence(id));
     }
-    return coming <= room || in_flight() < kLeastLimit;
+    return coming <= room || in_flight() < least_limit();
   }
   double stream_size(const Sequence& q) const { return q.prompt + q.max_out / 2; }
 
@@ -679,9 +678,10 @@
     s_.tenant_at[i] = now_;
     return chance() * s_.tenant_came[i] <= 1 + d_.tenant_rates[i] / d_.routers * seconds(kKeptFor);
   }
+  double least_limit() const { return kLeastLimit * std::max(1.0, readers() / d_.routers); }
   void cut_limit() {
     if (now_ - s_.limit_cut >= kCutEvery)
-      s_.limit = std::max(kLeastLimit, s_.limit * kCut), s_.limit_cut = now_;
+      s_.limit = std::max(least_limit(), s_.limit * kCut), s_.limit_cut = now_;
   }
   double chance() {  // permuted congruential generator, 32 bits out
     const std::uint64_t old = s_.chance;
@@ -699,9 +699,9 @@
   bool open(const Sequence& q) const { return q.stage != Stage::streaming && q.stage != Stage::over; }
   bool listed(const Worker& w) const { return w.known && w.standing == Standing::ready; }
   bool serves(const Worker& w, bool reads) const { return reads == (w.role == Role::reader); }
-  bool has_readers() const {
+  double readers() const {
     const auto reads = [&](const Worker& w) { return listed(w) && w.role == Role::reader; };
-    return std::ranges::any_of(s_.workers, reads);
+    return static_cast<double>(std::ranges::count_if(s_.workers, reads));
   }
   const TrafficType& type(const Sequence& q) const { return d_.types[static_cast<std::size_t>(q.type)]; }
   Worker& at(int worker) { return s_.workers[static_cast<std::size_t>(worker)]; }
