--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -223,14 +223,13 @@
   Deployment d = small_deployment();
   d.tenant_rates = {1, 1};
   d.routers = 100;
+  d.kinds[1].memory_tokens = 0;
   Trace t("tenant_small_share", d, 1, 1);
-  t.came(0, 0, 9000, 6000, 0, 0, 0, 0);
-  t.came(1, 0, 9000, 6000, 0, 0, 0, 0);
-  t.came(2, 0, 9000, 6000, 0, 0, 0, 0);
-  t.came(3, 0, 9000, 6000, 0, 0, 0, 1);  // before what is past the other's share
-  t.until(100);
+  for (int seq = 0; seq < 12; ++seq) t.came(seq, 0, 900, 6000, 0, 0, 0, 0);
+  t.came(12, 0, 900, 6000, 0, 0, 0, 1);  // before what is past the other's share
+  t.until(50);
   t.ended(0, 0, Outcome::read_done);
-  t.until(150);
+  t.until(60);
   t.began(0, 1);
 }
 
