--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -121,7 +121,7 @@
     Attempt& a = q.attempts[static_cast<std::size_t>(attempt)];
     Worker& w = at(a.worker);
     --w.pending, ++s_.answers[0];
-    a.begun = true;
+    a.begun = true, a.given_up = false;  // it began after all: if it breaks, an answer is still owed
     answered(w), state_gone(q);
     smooth(s_.first_wait, seconds(took));
     if (q.stage == Stage::over) return run();
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -78,6 +78,20 @@
   t.until(1460);
 }
 
+TEST_CASE("a stream that began after its attempt was left, and broke, still gets a final answer") {
+  Trace t("late_stream", small_deployment(), 1, 2);
+  t.until(100);
+  t.came(0, 0, 3000, 3000);
+  t.until(200);
+  t.ended(0, 0, Outcome::read_done);
+  t.until(1250);  // left for late, sent to the other writer
+  t.began(0, 1);
+  t.ended(0, 2, Outcome::cancelled);
+  t.until(1300);
+  t.ended(0, 1, Outcome::cancelled);
+  t.until(3200);
+}
+
 TEST_CASE("a writer that said full to a sequence is not asked again while another is there") {
   Trace t("full_to_one", small_deployment(), 1, 3);
   t.came(0, 0, 3000);
