--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -135,6 +135,26 @@
   t.came(3, 0, 3000);
 }
 
+TEST_CASE("a connection that was slow to open is no death: the worker is not cold when it answers") {
+  Trace t("slow_connection", small_deployment(), 1, 1);
+  t.came(0, 0, 3000);
+  t.until(250);
+  t.ended(0, 0, Outcome::connect_failed);
+  t.left(0);
+  t.ended(0, 1, Outcome::cancelled);
+  t.until(4000);
+  t.whole(1, 0, 3000);
+  for (int seq = 2; seq < 6; ++seq) t.came(seq, 0, 3000);  // all are sent at once
+}
+
+TEST_CASE("all readers cold at once: a part is sent, the rest is answered at once") {
+  Trace t("all_cold", small_deployment(), 2, 1);
+  t.until(5000);
+  for (int w = 0; w < 2; ++w) t.listed(w, Standing::ready, 0, 4000 * kMs);
+  for (int seq = 0; seq < 6; ++seq) t.came(seq, 0, 1000);
+  t.until(5600);
+}
+
 TEST_CASE("a silent worker is left at once by all that wait there") {
   Trace t("silence", small_deployment(), 1, 2);
   t.came(0, 0, 3000);
