Tidied after reading the change: a yes/no for a broken connection, one decay, one test opening

down_since had become a time that was only ever asked yes or no; the decay formula stood three times; Attempt::presumed was read by nothing; nine tests opened with the same three lines, now Trace::read, which Trace::whole calls too.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -49,7 +49,7 @@
 
 double seconds(Nanos t) { return static_cast<double>(t) / static_cast<double>(kSecond); }
 Nanos nanos(double s) { return static_cast<Nanos>(s * static_cast<double>(kSecond)); }
-double decay(Nanos since) { return std::exp(-seconds(since) / seconds(kMemory)); }
+double decay(Nanos since, Nanos life = kMemory) { return std::exp(-seconds(since) / seconds(life)); }
 void smooth(double& value, double sample) { value += kSmooth * (sample - value); }
 void blend(Mean& m, double sample) { m.n += 1, m.value += std::max(kSmooth, 1 / m.n) * (sample - m.value); }
 
@@ -77,7 +77,7 @@
       s_.workers.resize(static_cast<std::size_t>(worker) + 1);
     Worker& w = at(worker);
     if (!w.known) {
-      w = {.known = true, .identity = identity, .started = started, .down_since = kNever};
+      w = {.known = true, .identity = identity, .started = started};
       w.cold_since = started > 0 ? started : kNever;
     } else if (started > w.started) {  // restarted: empty, cold, and whatever ailed it is gone
       w.started = w.void_before = started;
@@ -248,7 +248,7 @@
     if (outcome == Outcome::generated || outcome == Outcome::read_done) answered(w);
     if (outcome == Outcome::error) w.strikes += w.on_trial ? kStrikesOut : 1;
     if (outcome == Outcome::timed_out && silent) w.strikes += kStrikesOut;
-    if (outcome == Outcome::connection_lost) w.down_since = now_ - kAside;
+    if (outcome == Outcome::connection_lost) w.broke = true;
     if (lost && !given_up) w.strikes += kStrikesOut;
   }
 
@@ -256,8 +256,8 @@
     w.heard = now_, w.strikes /= 2, w.on_trial = false;
     if (w.aside_until > now_) w.aside_until = now_;
     // Guards rule 4 where the list is late: what was down and answers again has just started.
-    if (w.down_since <= now_ - kAside) w.cold_since = w.void_before = now_;
-    w.down_since = kNever;
+    if (w.broke) w.cold_since = w.void_before = now_;
+    w.broke = false;
   }
 
   void note_report(Worker& w, const Report& report) {
@@ -552,7 +552,7 @@
   }
   // An unheard worker is as the average of those heard, and an old report drifts there.
   double drifted(const Worker& w, double reported, const Mean& mean, Nanos life) const {
-    const double left = reported < 0 ? 0 : std::exp(-seconds(now_ - w.reported) / seconds(life));
+    const double left = reported < 0 ? 0 : decay(now_ - w.reported, life);
     return mean.value + left * (reported - mean.value);
   }
   // Guards against states that mount at readers while writers are full: reads are held back while what this
@@ -573,7 +573,7 @@
   // The one gate. Every send passes it, and every choice is made among what passes it.
   bool may_send(const Sequence& q, const Worker& w, bool reads) const {
     if (!listed(w)) return false;  // rule 3
-    if (w.aside_until > now_ && (w.down_since != kNever || enough_left(w))) return false;
+    if (w.aside_until > now_ && (w.broke || enough_left(w))) return false;
     if (w.on_trial && w.pending > 0) return false;
     if (w.full_until > now_) return false;
     if (cold(w) && !cold_turn(q, w)) return false;  // rule 4
@@ -673,7 +673,7 @@
   bool take_share(int tenant) {
     if (tenant >= static_cast<int>(d_.tenant_rates.size())) return true;
     const auto i = static_cast<std::size_t>(tenant);
-    const double keep = std::exp(-seconds(now_ - s_.tenant_at[i]) / seconds(kKeptFor));
+    const double keep = decay(now_ - s_.tenant_at[i], kKeptFor);
     s_.tenant_came[i] = s_.tenant_came[i] * keep + 1;
     s_.tenant_at[i] = now_;
     return chance() * s_.tenant_came[i] <= 1 + d_.tenant_rates[i] / d_.routers * seconds(kKeptFor);
--- a/src/state.h
+++ b/src/state.h
@@ -56,7 +56,6 @@
   bool out{};
   bool begun{};     // its stream flows
   bool full{};      // turned away by a worker that was full
-  bool presumed{};  // sent to the session's home, of which the table knew nothing
   bool given_up{};  // cancelled, or no longer waited for
   Nanos sent{};
   Nanos expected{};   // how long it should take
@@ -102,7 +101,7 @@
   Nanos void_before{};  // what it kept before is not believed in
   Nanos cold_since{};   // start by the list or guessed from symptoms; kNever: warm
   Nanos heard{};        // last sign of life
-  Nanos down_since{};   // first refused connection or break since last heard; kNever: none
+  bool broke{};         // a connection broke since it was last heard
   Nanos aside_until{};
   bool on_trial{};   // back from being aside, one sequence at a time until it answers
   double strikes{};  // failures, ageing with every success
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -28,15 +28,11 @@
 TEST_CASE("writers by reported memory, ties by cell, then by own stream tokens") {
   Trace t("writer_order", small_deployment(), 1, 3);
   t.listed(3, Standing::ready, 1, 0, 5);
-  t.came(0, 0, 3000);
-  t.until(50);
-  t.ended(0, 0, Outcome::read_done);
+  t.read(0, 0, 3000, 50);
   t.until(100);
   t.ended(0, 1, Outcome::error, 0, 0.9);  // worker 1 says that it is nearly full
   t.until(150);
-  t.came(1, 0, 3000);
-  t.until(200);
-  t.ended(1, 0, Outcome::read_done);
+  t.read(1, 0, 3000, 50);
 }
 
 TEST_CASE("a draining worker gets nothing new") {
@@ -94,9 +90,7 @@
 
 TEST_CASE("a writer that said full to a sequence is not asked again while another is there") {
   Trace t("full_to_one", small_deployment(), 1, 3);
-  t.came(0, 0, 3000);
-  t.until(100);
-  t.ended(0, 0, Outcome::read_done);
+  t.read(0, 0, 3000, 100);
   for (int attempt = 1; attempt < 4; ++attempt) {
     t.until(100 + 160 * attempt);
     t.ended(0, attempt, Outcome::full);
@@ -106,18 +100,14 @@
 TEST_CASE("a writer not heard of for long is as the average, not empty") {
   Trace t("unheard_writer", small_deployment(), 1, 3);
   for (int seq = 0; seq < 2; ++seq) {
-    t.came(seq, 0, 3000);
-    t.until(t.now_ms() + 50);
-    t.ended(seq, 0, Outcome::read_done);
+    t.read(seq, 0, 3000, 50);
     t.until(t.now_ms() + 50);
     t.began(seq, 1);
     t.ended(seq, 1, Outcome::generated, 0, seq == 0 ? 0.2 : 0.9);
   }
   t.until(5000);
   for (int seq = 2; seq < 4; ++seq) {  // the nearly empty one is still taken
-    t.came(seq, 0, 3000);
-    t.until(t.now_ms() + 50);
-    t.ended(seq, 0, Outcome::read_done);
+    t.read(seq, 0, 3000, 50);
   }
 }
 
@@ -157,9 +147,7 @@
 
 TEST_CASE("a silent worker is left at once by all that wait there") {
   Trace t("silence", small_deployment(), 1, 2);
-  t.came(0, 0, 3000);
-  t.until(100);
-  t.ended(0, 0, Outcome::read_done);
+  t.read(0, 0, 3000, 100);
   t.until(2500);
   t.ended(0, 1, Outcome::cancelled);
 }
@@ -182,9 +170,7 @@
 
 TEST_CASE("a state that no writer takes is let go well before the limit, and answered at once") {
   Trace t("pinned", small_deployment(), 1, 1);
-  t.came(0, 0, 3000);
-  t.until(100);
-  t.ended(0, 0, Outcome::read_done);
+  t.read(0, 0, 3000, 100);
   t.until(150);
   t.listed(1, Standing::draining, 1);
   t.ended(0, 1, Outcome::full);
@@ -205,9 +191,7 @@
   Deployment d = small_deployment();
   d.types[0].effect = Effect::once_only;
   Trace t("once_only", d);
-  t.came(0, 0, 3000);
-  t.until(100);
-  t.ended(0, 0, Outcome::read_done);
+  t.read(0, 0, 3000, 100);
   t.until(150);
   t.ended(0, 1, Outcome::full);  // proved idle: another writer may have it
   t.until(180);
@@ -222,9 +206,7 @@
   d.types[0].window = 2000 * kMs;
   Trace t("tokened", d, 1, 3);
   t.listed(2, Standing::ready, 1, 0, 9);  // the others are in the reader's cell
-  t.came(0, 0, 3000);
-  t.until(100);
-  t.ended(0, 0, Outcome::read_done);
+  t.read(0, 0, 3000, 100);
   t.until(120);
   t.ended(0, 1, Outcome::error);
   t.until(140);
--- a/tests/trace.h
+++ b/tests/trace.h
@@ -97,12 +97,16 @@
     policy_->worker_listed(worker, static_cast<std::uint64_t>(worker), standing, started, kind, zone, cell);
     policy_->list_ends();
   }
-  // One sequence from first to last, in 150 ms, over whichever workers are chosen.
-  void whole(int seq, std::uint64_t session, double prompt, double kept = 0) {
+  // A sequence that comes and is read, so that its writer is chosen.
+  void read(int seq, std::uint64_t session, double prompt, int ms, double kept = 0) {
     came(seq, session, prompt);
-    until(static_cast<int>(now_ / kMs) + 100);
+    until(now_ms() + ms);
     ended(seq, 0, Outcome::read_done, kept);
-    until(static_cast<int>(now_ / kMs) + 50);
+  }
+  // One sequence from first to last, in 150 ms, over whichever workers are chosen.
+  void whole(int seq, std::uint64_t session, double prompt, double kept = 0) {
+    read(seq, session, prompt, 100, kept);
+    until(now_ms() + 50);
     began(seq, 1);
     ended(seq, 1, Outcome::generated);
   }
