--- /dev/null
+++ b/io/calls.h
@@ -0,0 +1,37 @@
+// What a scheduler asks of the kernel, counted by the name of the call. A count is one addition beside the call.
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+namespace cressrill::io {
+
+enum class Call {
+  accept4,
+  close,
+  connect,
+  epoll_ctl,
+  epoll_wait,
+  getsockopt,
+  recv,
+  send,
+  setsockopt,
+  socket
+};
+constexpr std::size_t kCalls = 10;
+constexpr std::array<const char*, kCalls> kCallNames{"accept4",    "close",      "connect", "epoll_ctl",
+                                                     "epoll_wait", "getsockopt", "recv",    "send",
+                                                     "setsockopt", "socket"};
+
+class Calls {
+ public:
+  void add(Call call, std::uint64_t times = 1) { count_[static_cast<std::size_t>(call)] += times; }
+  std::uint64_t of(Call call) const { return count_[static_cast<std::size_t>(call)]; }
+  const std::array<std::uint64_t, kCalls>& all() const { return count_; }
+
+ private:
+  std::array<std::uint64_t, kCalls> count_{};
+};
+
+}  // namespace cressrill::io
--- a/io/loop.cpp
+++ b/io/loop.cpp
@@ -44,6 +44,7 @@
 }
 
 void Loop::watch(int fd, Watch& watch) {
+  called(Call::epoll_ctl);
   epoll_event event{};
   event.events = EPOLLIN | EPOLLOUT | EPOLLRDHUP | EPOLLET;
   event.data.ptr = &watch;
@@ -53,6 +54,7 @@
 }
 
 void Loop::unwatch(int fd) {
+  called(Call::epoll_ctl);
   epoll_ctl(epoll_, EPOLL_CTL_DEL, fd, nullptr);
   --watched_;
 }
@@ -71,6 +73,7 @@
 }
 
 bool Loop::poll(int timeout_ms) {
+  called(Call::epoll_wait);
   std::array<epoll_event, 256> events;
   const int n = epoll_wait(epoll_, events.data(), static_cast<int>(events.size()), timeout_ms);
   for (int i = 0; i < n; ++i) {
@@ -107,6 +110,11 @@
   return poll(in_kernel_ == 0 ? 0 : 1);
 }
 
+bool Loop::round() {
+  fire_due();
+  return run_ready() || poll(0);
+}
+
 bool Loop::run_until(const std::function<bool()>& done) {
   while (!done()) {
     read_clock();
--- a/io/loop.h
+++ b/io/loop.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <vector>
 
+#include "calls.h"
 #include "task.h"
 
 namespace cressrill::io {
@@ -71,6 +72,13 @@
   }
   void stop() { stopped_ = true; }
 
+  // For a host that drives several schedulers in step, all on handed time: runs one round of what can run now and
+  // looks once at the sockets; whether anything happened. Then the next timer (kNoTimer: none), and the jump there.
+  bool round();
+  static constexpr Nanos kNoTimer = INT64_MAX;
+  Nanos next_timer() const { return timers_.empty() ? kNoTimer : timers_.begin()->at; }
+  void jump(Nanos to) { now_ = to; }
+
   void make_ready(Waiter& waiter) {
     if (!waiter.is_linked()) ready_.push_back(waiter);
   }
@@ -97,6 +105,8 @@
   void watch(int fd, Watch& watch);
   void unwatch(int fd);
   void moved(std::int64_t bytes) { in_kernel_ += bytes; }
+  void called(Call call, std::uint64_t times = 1) { calls_.add(call, times); }
+  const Calls& calls() const { return calls_; }
 
  private:
   bool run_ready();
@@ -113,6 +123,7 @@
   std::uint64_t order_{};
   std::int64_t in_kernel_{};  // bytes written less bytes read: with both ends here, what is on its way
   std::size_t watched_{};
+  Calls calls_;
   Waiter round_end_;
   intrusive::list<Waiter, intrusive::constant_time_size<false>> ready_;
   intrusive::multiset<Timer, intrusive::constant_time_size<false>> timers_;
--- a/io/socket.cpp
+++ b/io/socket.cpp
@@ -24,17 +24,20 @@
   if (fd < 0) throw std::system_error(errno, std::generic_category(), "socket");
   return fd;
 }
-void no_delay(int fd) {
+// Both return how many calls they made.
+std::uint64_t no_delay(int fd) {
   const int on = 1;
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  return 1;
 }
 // A peer whose machine is gone sends no end: after some 25 s without a word the kernel breaks the connection.
-void keep_asking(int fd) {
+std::uint64_t keep_asking(int fd) {
   const int on = 1, idle_s = 10, every_s = 5, times = 3;
   setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
   setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof idle_s);
   setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &every_s, sizeof every_s);
   setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &times, sizeof times);
+  return 4;
 }
 }  // namespace
 
@@ -90,12 +93,14 @@
   if (!state_) return;
   if (reset) {
     const linger hard{1, 0};
+    state_->loop.called(Call::setsockopt);
     setsockopt(state_->fd, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
   }
   // A coroutine that waits on this socket is woken and finds the error by its next call.
   for (Waiter* w : {state_->watch.reader, state_->watch.writer})
     if (w != nullptr) static_cast<Ready*>(w)->watch = nullptr, state_->loop.make_ready(*w);
   state_->loop.unwatch(state_->fd);
+  state_->loop.called(Call::close);
   ::close(state_->fd);
   state_.reset();
 }
@@ -103,6 +108,7 @@
 Task<Moved> Socket::read_some(std::span<char> to) {
   for (;;) {
     if (!state_) co_return Moved{0, EBADF};
+    state_->loop.called(Call::recv);
     const ssize_t n = ::recv(state_->fd, to.data(), to.size(), 0);
     if (n >= 0) {
       state_->loop.moved(-n);
@@ -119,6 +125,7 @@
   std::size_t sent = 0;
   while (sent < from.size()) {
     if (!state_) co_return Moved{sent, EBADF};
+    state_->loop.called(Call::send);
     const ssize_t n = ::send(state_->fd, from.data() + sent, from.size() - sent, MSG_NOSIGNAL);
     if (n > 0) {
       state_->loop.moved(n);
@@ -137,6 +144,7 @@
   for (;;) {
     if (!state_) co_return;
     char one;
+    state_->loop.called(Call::recv);
     const ssize_t n = ::recv(state_->fd, &one, 1, MSG_PEEK);
     if (n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR)) co_return;
     state_->watch.readable = false;
@@ -147,15 +155,17 @@
 bool Socket::spoiled() const {
   if (!state_) return true;
   char one;
+  state_->loop.called(Call::recv);
   const ssize_t n = ::recv(state_->fd, &one, 1, MSG_PEEK);
   return n >= 0 || errno != EAGAIN;
 }
 
 Task<Moved> connect(Loop& loop, Address address, Socket& to) {
+  loop.called(Call::socket);
   const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (fd < 0) co_return Moved{0, errno};
-  no_delay(fd);
-  keep_asking(fd);
+  loop.called(Call::setsockopt, no_delay(fd) + keep_asking(fd));
+  loop.called(Call::connect);
   const sockaddr_in target = raw(address);
   const int begun = ::connect(fd, reinterpret_cast<const sockaddr*>(&target), sizeof target);
   const int error = begun == 0 ? 0 : errno;
@@ -167,6 +177,7 @@
     if (!socket.state_) co_return Moved{0, EBADF};
     int failed = 0;
     socklen_t size = sizeof failed;
+    loop.called(Call::getsockopt);
     getsockopt(fd, SOL_SOCKET, SO_ERROR, &failed, &size);
     if (failed != 0) co_return Moved{0, failed};
   }
@@ -192,9 +203,10 @@
 Task<Socket> Listener::accept() {
   for (;;) {
     if (!socket_.is_open()) co_return Socket{};
+    loop_.called(Call::accept4);
     const int fd = ::accept4(socket_.fd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (fd >= 0) {
-      no_delay(fd);
+      loop_.called(Call::setsockopt, no_delay(fd));
       co_return Socket(loop_, fd);
     }
     if (errno == EMFILE || errno == ENFILE) {  // out of descriptors: let some close first
