An input goes over watched and listed workers only, and scores each candidate once

Cause: each input asked two rules of every worker, and each choice counted readers, zones and cells anew, looked up the holder table for every reader and scored every worker two to three times. Change: who is listed is counted when a list ends; the worker rules look at workers with attempts pending or strikes, with the time before which none can be silent; a condition's candidates are what its choice is made among; leads are looked up for holders and the home alone; room is added up only until it is enough.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -9,8 +9,8 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
-#include <map>
 #include <tuple>
+#include <utility>
 
 namespace cressrill {
 namespace {
@@ -89,7 +89,17 @@
     w.role = d_.kinds[static_cast<std::size_t>(kind)].role;
   }
 
-  void list_ends() override { run(); }
+  void list_ends() override {
+    s_.census = {};
+    for (int i = 0; i < static_cast<int>(s_.workers.size()); ++i) {
+      const Worker& w = at(i);
+      if (!listed(w)) continue;
+      const std::size_t reads = w.role == Role::reader;
+      s_.census.ready[reads].push_back(i);
+      ++s_.census.in_zone[reads][w.zone], ++s_.census.in_cell[reads][w.zone][w.cell];
+    }
+    run();
+  }
 
   void list_failed(Nanos now) override { now_ = now; }  // it is asked for again in time
   void sequence_came(Nanos now, int seq, int type, int tenant, std::uint64_t session, std::uint64_t beginning,
@@ -151,6 +161,7 @@
     a.full = outcome == Outcome::full;
     if (report.heard) note_report(w, report);
     judge(w, outcome, silent, a.given_up);
+    watch(a.worker);
     if (outcome == Outcome::read_done) read_ended(q, a, w, took, kept);
     // What was late would have taken so long at least: unlearned, time-outs stay too short in a jam.
     if (outcome == Outcome::timed_out) smooth(a.reads ? s_.read_wait : s_.first_wait, seconds(took));
@@ -195,14 +206,20 @@
     for (bool fired = true; fired;) {
       fired = false;
       for (const Rule<Worker>& rule : worker_rules)
-        for (Worker& w : s_.workers)
-          if (w.known && (this->*rule.when)(w)) (this->*rule.then)(w), fired = true;
+        for (std::size_t i = 0; i < s_.watched.size(); ++i) {
+          Worker& w = at(s_.watched[i]);
+          if ((this->*rule.when)(w)) (this->*rule.then)(w), fired = true;
+        }
       for (const Rule<Sequence>& rule : sequence_rules)
         for (std::size_t i = 0; i < s_.live.size(); ++i) {
           Sequence& q = sequence(s_.live[i]);
           if ((this->*rule.when)(q)) (this->*rule.then)(q), fired = true;
         }
     }
+    std::erase_if(s_.watched, [&](int i) {
+      Worker& w = at(i);
+      return !(w.watched = w.pending > 0 || w.strikes >= kStrikesOut);
+    });
     if (d_.asks_for_list && now_ - s_.list_asked > d_.must_ask_in / 2) s_.list_asked = now_, out_.subscribe();
     // Streams with no other attempt out are no rule's matter until something happens to them: thousands wait so.
     s_.parked += std::erase_if(s_.live, [&](int id) {
@@ -228,12 +245,18 @@
   // Guards against machines that vanish or hang and against cut links: attempts are overdue, and nothing was
   // heard since they were sent. Can harm a lone worker in one long step; it is back after its time aside.
   bool fell_silent(const Worker& w) const {
-    if (w.pending == 0 || w.aside_until > now_) return false;
+    if (w.pending == 0 || w.aside_until > now_ || now_ <= w.late_from) return false;
+    w.late_from = kNever;
     for (const int id : s_.live)
       for (const Attempt& a : sequence(id).attempts)
-        if (unanswered(a) && &at(a.worker) == &w && w.heard < a.sent && now_ - a.sent > late_after(a))
-          return true;
-    return false;
+        if (unanswered(a) && &at(a.worker) == &w && w.heard < a.sent)
+          w.late_from = std::min(w.late_from, a.sent + late_after(a));
+    return now_ > w.late_from;
+  }
+  // In order of index, as all workers were gone through before.
+  void watch(int worker) {
+    if (std::exchange(at(worker).watched, true)) return;
+    s_.watched.insert(std::ranges::lower_bound(s_.watched, worker), worker);
   }
   void set_aside_and_leave(Worker& w) {
     set_aside(w);
@@ -293,8 +316,8 @@
     const double climbed = std::clamp(seconds(now_ - w.cold_since) / seconds(d_.ramp_time), 0.0, 1.0);
     const double capacity = d_.cold_from + (1 - d_.cold_from) * climbed * climbed;
     double warm = 0, all = 0;
-    for (const Worker& other : s_.workers)
-      if (listed(other) && other.role == w.role) ++all, warm += !cold(other);
+    for (const int i : s_.census.ready[w.role == Role::reader])
+      if (at(i).role == w.role) ++all, warm += !cold(at(i));
     const std::size_t reads = w.role == Role::reader;
     const double answers = (s_.answers[reads] + 1) / (s_.sends[reads] + 1);
     return std::min(1.0, kColdCare * d_.fall_multiple * capacity) * answers / (warm > 0 ? warm : all);
@@ -421,27 +444,51 @@
   }
   double to_read(const Sequence& q) const {
     double most = 0;
-    for (int w = 0, home = home_of(q); w < static_cast<int>(s_.workers.size()); ++w)
+    const int home = home_of(q);
+    const auto look = [&](int w) {
       if (serves(at(w), true) && listed(at(w))) most = std::max(most, lead(q, w, home));
+    };
+    if (home >= 0) look(home);
+    for (const std::uint64_t key : {q.session, q.beginning})
+      if (const auto it = s_.holders.find(key); key != 0 && it != s_.holders.end())
+        for (const Holding& h : it->second) look(h.worker);
     return q.prompt - most;
   }
+  // The lead by worker: most have none, and neither table is asked for them.
+  auto leads(const Sequence& q, int home) const {
+    const auto listed_at = [&](std::uint64_t key) {
+      const auto it = key == 0 ? s_.holders.end() : s_.holders.find(key);
+      return it == s_.holders.end() ? nullptr : &it->second;
+    };
+    return [this, &q, home, own = listed_at(q.session), shared = listed_at(q.beginning)](int w) {
+      const auto here = [w](const Holding& h) { return h.worker == w; };
+      const bool any = w == home || (own != nullptr && std::ranges::any_of(*own, here)) ||
+                       (shared != nullptr && std::ranges::any_of(*shared, here));
+      return any ? lead(q, w, home) : 0;
+    };
+  }
   double lead(const Sequence& q, int w, int home) const {
     const double own = q.prompt - q.beginning_tokens;  // what only this session has
     return std::max(promise(q, w).tokens, w == home ? q.beginning_tokens + kHomeTrust * own : 0);
   }
   void read(Sequence& q) {
     if (readers() == 0) return write(q);  // mixed workers, or writers that read: one attempt does both
-    const std::vector<int> usable = candidates(q, true);
-    const auto ease = [&](int w) { return -wait(at(w)) - s_.read_tokens * per_token(at(w)) - far(at(w)); };
-    const int by_load = sample(usable, ease, kNear * s_.read_tokens * per_token());
+    const std::vector<int>& usable = usable_;
+    const double pace = per_token();
+    for (const int w : usable) at(w).pace = per_token(at(w)), at(w).ease = ease(at(w));
+    const int by_load = sample(
+        usable, [&](int w) { return at(w).ease; }, kNear * s_.read_tokens * pace);
     const int home = home_of(q);
-    std::vector<int> holders;
-    const auto gain = [&](int w) {
-      return (lead(q, w, home) - lead(q, by_load, home)) * per_token(at(w)) + ease(w) - ease(by_load);
-    };
-    for (const int w : usable)
-      if (gain(w) > 0) holders.push_back(w);
-    q.reader = holders.empty() ? by_load : sample(holders, gain, kNear * q.prompt * per_token());
+    const auto lead_of = leads(q, home);
+    const double lead_by_load = lead_of(by_load), ease_by_load = at(by_load).ease;
+    holders_.clear();
+    for (const int w : usable) {
+      Worker& x = at(w);
+      x.gain = (lead_of(w) - lead_by_load) * x.pace + x.ease - ease_by_load;
+      if (x.gain > 0) holders_.push_back(w);
+    }
+    const auto gain = [&](int w) { return at(w).gain; };
+    q.reader = holders_.empty() ? by_load : sample(holders_, gain, kNear * q.prompt * pace);
     enter(q, Stage::reading);
     q.read_at = now_;
     send(q, q.reader, true);
@@ -451,18 +498,20 @@
   // has more beginnings than one reader can keep. A home that is cold or set aside passes on to the next one.
   int home_of(const Sequence& q) const {
     if (q.session == 0 || s_.holders.contains(q.session)) return -1;
-    std::map<int, double> readers;  // by zone
-    double all = 1;
-    for (const Worker& w : s_.workers)
-      if (listed(w) && w.role == Role::reader) ++readers[w.zone], ++all;
+    const auto& zones = s_.census.in_zone[1];
+    const auto in = [&](int zone) {
+      const auto it = zones.find(zone);
+      return it == zones.end() ? 0 : it->second;
+    };
+    const double here = in(d_.zone), all = readers() + 1;
     // Zones are uneven: what is past the even part of the zone's readers has its home in another zone.
-    const double even = readers[d_.zone] * static_cast<double>(readers.size()) / all;
+    const double even = here * static_cast<double>(zones.size() + (here == 0)) / all;
     const bool stays = mixed(q.session, Worker{}) < even;
     int home = -1;
     double most = -1;
-    for (int w = 0; w < static_cast<int>(s_.workers.size()); ++w) {
-      if (!serves(at(w), true) || !listed(at(w)) || at(w).aside_until > now_ || cold(at(w))) continue;
-      const bool shares = q.beginning == 0 || mixed(q.beginning, at(w)) * readers[at(w).zone] < kHomes;
+    for (const int w : s_.census.ready[1]) {
+      if (at(w).aside_until > now_ || cold(at(w))) continue;
+      const bool shares = q.beginning == 0 || mixed(q.beginning, at(w)) * in(at(w).zone) < kHomes;
       const double rank = mixed(q.session, at(w)) + shares + 2 * ((at(w).zone == d_.zone) == stays);
       if (rank > most) home = w, most = rank;  // clients come again in their zone
     }
@@ -478,14 +527,14 @@
   int sample(const std::vector<int>& from, Score score, double margin) {
     double best = -1e18, total = 0;
     for (const int w : from) best = std::max(best, score(w));
-    std::vector<int> near;
+    near_.clear();
     for (const int w : from)
-      if (score(w) >= best - margin) near.push_back(w);
-    for (const int w : near) total += 1 / (waiting(at(w)) + 1);
+      if (score(w) >= best - margin) near_.push_back({w, 1 / (waiting(at(w)) + 1)});
+    for (const auto& [w, weight] : near_) total += weight;
     double left = chance() * total;
-    for (const int w : near)
-      if ((left -= 1 / (waiting(at(w)) + 1)) <= 0) return w;
-    return near.back();
+    for (const auto& [w, weight] : near_)
+      if ((left -= weight) <= 0) return w;
+    return near_.back().first;
   }
   // What a read takes, learned from answers: a line through the fleet's reads (seconds a token, and a part
   // that does not grow with the tokens), and for each reader how far it lies off that line.
@@ -507,6 +556,9 @@
   }
   double overhead() const { return std::max(0.0, (s_.line.t - per_token() * s_.line.x) / (s_.line.n + 1)); }
   double per_token(const Worker& w) const {
+    // However much of it has decayed, it lies between this and 1.
+    const double fresh = (w.took + kPriorSeconds) / (w.should_take + kPriorSeconds);
+    if (fresh < 0.99 * kOddSpeed && fresh * 0.99 * kOddSpeed > 1) return per_token();
     const double keep = decay(now_ - w.paced_at);
     const double ratio = (w.took * keep + kPriorSeconds) / (w.should_take * keep + kPriorSeconds);
     return per_token() * (ratio > kOddSpeed || ratio * kOddSpeed < 1 ? ratio : 1);
@@ -516,9 +568,10 @@
     const double reported = w.sequences < 0 ? -1 : std::max(0.0, w.sequences - w.own_at_report);
     return drifted(w, reported, s_.others[static_cast<std::size_t>(w.role)], kReportLife);
   }
+  double ease(const Worker& w) const { return -wait(w, w.pace) - s_.read_tokens * w.pace - far(w); }
   double waiting(const Worker& w) const { return w.pending + kOthersRead * others(w); }
-  double wait(const Worker& w) const {
-    return (w.read_tokens + kOthersRead * others(w) * s_.read_tokens) * per_token(w);
+  double wait(const Worker& w, double pace) const {
+    return (w.read_tokens + kOthersRead * others(w) * s_.read_tokens) * pace;
   }
   // Crossing zones costs a share of the utility: as much as so much waiting.
   double far(const Worker& w) const {
@@ -531,9 +584,9 @@
     return q.stage == Stage::read && !candidates(q, false).empty();
   }
   void write(Sequence& q) {
-    const std::vector<int> usable = candidates(q, false);
+    const std::vector<int>& usable = usable_;
     double best = 1e18;
-    for (const int w : usable) best = std::min(best, fullness(at(w)));
+    for (const int w : usable) best = std::min(best, at(w).full = fullness(at(w)));
     const int cell = q.reader < 0 ? -1 : at(q.reader).cell, zone = q.reader < 0 ? d_.zone : at(q.reader).zone;
     // Departure: where a cell's writers are few for its readers, only their even part stays in the cell.
     const bool stays = cell < 0 || chance() < even_part(at(q.reader));
@@ -544,7 +597,7 @@
     for (const int w : usable) {
       const Worker& x = at(w);
       const bool misfit = stays ? x.cell != cell : x.zone != zone || even_part(x) <= 1;
-      const Rank rank{fullness(x) > best + kTieBand, misfit, x.zone != zone, x.stream_tokens, chance()};
+      const Rank rank{x.full > best + kTieBand, misfit, x.zone != zone, x.stream_tokens, chance()};
       if (writer < 0 || rank < first) writer = w, first = rank;
     }
     enter(q, Stage::writing);
@@ -553,9 +606,13 @@
   // A cell's share of its zone's writers against its share of the zone's readers.
   double even_part(const Worker& in) const {
     double all[2]{}, here[2]{};
-    for (const Worker& x : s_.workers)
-      if (listed(x) && x.zone == in.zone)
-        ++all[x.role == Role::reader], here[x.role == Role::reader] += x.cell == in.cell;
+    for (std::size_t reads = 0; reads < 2; ++reads) {
+      const auto zone = s_.census.in_cell[reads].find(in.zone);
+      if (zone == s_.census.in_cell[reads].end()) continue;
+      all[reads] = s_.census.in_zone[reads].at(in.zone);
+      if (const auto cell = zone->second.find(in.cell); cell != zone->second.end())
+        here[reads] = cell->second;
+    }
     return here[0] * all[1] / std::max(1.0, here[1] * all[0]);
   }
   double memory(const Worker& w) const {
@@ -575,40 +632,48 @@
   // Guards against states that mount at readers while writers are full: reads are held back while what this
   // router has on its way would not fit its part of the writers' free memory.
   bool has_room(const Sequence& q) const {
+    if (in_flight() < least_limit()) return true;
     double room = 0, coming = stream_size(q);
-    for (const Worker& w : s_.workers)
-      if (listed(w) && w.role != Role::reader && w.aside_until <= now_)
-        room += std::max(0.0, kRoom - fullness(w)) * memory(w) / d_.routers;
     for (const int id : s_.live) {
       const Stage stage = sequence(id).stage;
       if (stage == Stage::reading || stage == Stage::read) coming += stream_size(sequence(id));
     }
-    return coming <= room || in_flight() < least_limit();
+    const std::vector<int>& writers = s_.census.ready[0];
+    for (std::size_t i = 0; i < writers.size() && room < coming; ++i) {
+      const Worker& w = at(writers[i]);
+      if (w.aside_until <= now_) room += std::max(0.0, kRoom - fullness(w)) * memory(w) / d_.routers;
+    }
+    return coming <= room;
   }
   double stream_size(const Sequence& q) const { return q.prompt + q.max_out / 2; }
 
   // The one gate. Every send passes it, and every choice is made among what passes it.
+  bool may_send(const Sequence& q, bool reads) const {
+    if (static_cast<int>(q.attempts.size()) + (reads ? 2 : 1) > d_.attempts_cap) return false;
+    if (now_ >= q.abandon_at - 2 * d_.tick - kPulse) return false;  // rule 1
+    return d_.second_copies || std::ranges::none_of(q.attempts, &Attempt::out);
+  }
   bool may_send(const Sequence& q, const Worker& w, bool reads) const {
     if (!listed(w)) return false;  // rule 3
     if (w.aside_until > now_ && (w.broke || enough_left(w))) return false;
     if (w.on_trial && w.pending > 0) return false;
     if (w.full_until > now_) return false;
     if (cold(w) && !cold_turn(q, w)) return false;  // rule 4
-    if (static_cast<int>(q.attempts.size()) + (reads ? 2 : 1) > d_.attempts_cap) return false;
-    if (now_ >= q.abandon_at - 2 * d_.tick - kPulse) return false;  // rule 1
-    for (const Attempt& a : q.attempts)
-      if (a.out && !d_.second_copies) return false;
-    return reads || stays_in_group(q, w);  // rule 2
-  }
-  std::vector<int> candidates(const Sequence& q, bool reads) const {
-    std::vector<int> usable;
-    for (int w = 0; w < static_cast<int>(s_.workers.size()); ++w)
-      if (serves(at(w), reads) && may_send(q, at(w), reads)) usable.push_back(w);
+    return reads || stays_in_group(q, w);           // rule 2
+  }
+  // Good until the next call: a rule's condition asks, and what it leads to chooses among the same.
+  const std::vector<int>& candidates(const Sequence& q, bool reads) const {
+    std::vector<int>& usable = usable_;
+    usable.clear();
+    if (!may_send(q, reads)) return usable;
+    for (const int w : s_.census.ready[reads])
+      if (may_send(q, at(w), reads)) usable.push_back(w);
     // Guards against workers that say full to one storefront or type only, though they have room.
     const auto turned_away = [&](int w) {
       return std::ranges::any_of(q.attempts, [&](const Attempt& a) { return a.full && a.worker == w; });
     };
-    if (!std::ranges::all_of(usable, turned_away)) std::erase_if(usable, turned_away);
+    const bool any = std::ranges::any_of(q.attempts, &Attempt::full);
+    if (any && !std::ranges::all_of(usable, turned_away)) std::erase_if(usable, turned_away);
     return usable;
   }
   bool may_have_run(const Sequence& q) const {
@@ -624,21 +689,21 @@
   // Never so many aside that the rest tips over: the merely ill are called back when under half are left.
   bool enough_left(const Worker& w) const {
     int ready = 0, left = 0;
-    for (const Worker& x : s_.workers)
-      if (listed(x) && x.role == w.role) ++ready, left += x.aside_until <= now_;
+    for (const int i : s_.census.ready[w.role == Role::reader])
+      if (at(i).role == w.role) ++ready, left += at(i).aside_until <= now_;
     return left * 2 >= ready;
   }
 
   void send(Sequence& q, int worker, bool reads) {
     Worker& w = at(worker);
-    if (!may_send(q, w, reads)) return;
+    if (!may_send(q, reads) || !may_send(q, w, reads)) return;
     Attempt a{.worker = worker, .reads = reads, .out = true, .sent = now_};
     if (reads) {
       const Holding held = promise(q, worker);
       a.promised = held.tokens, a.promised_at = held.at;
       a.tokens = q.prompt - a.promised, a.ahead = w.read_tokens;
       // A promise may fail: its tokens count once, or a flush would make all readers look dead.
-      a.expected = nanos(overhead() + wait(w) + (a.tokens + a.promised / kLate) * per_token(w));
+      a.expected = nanos(overhead() + wait(w, per_token(w)) + (a.tokens + a.promised / kLate) * per_token(w));
       w.read_tokens += a.tokens;
     } else {
       a.tokens = stream_size(q);
@@ -648,6 +713,8 @@
       if (!q.maybe_ran) q.maybe_ran_at = worker, q.maybe_ran_since = now_;
     }
     ++s_.sends[reads], ++w.pending;
+    w.late_from = std::min(w.late_from, now_ + late_after(a));
+    watch(worker);
     q.attempts.push_back(a);
     const bool last = static_cast<int>(q.attempts.size()) + (reads ? 2 : 1) > d_.attempts_cap;
     out_.send(q.id, worker, last ? 0 : late_after(a));
@@ -719,10 +786,7 @@
   bool open(const Sequence& q) const { return q.stage != Stage::streaming && q.stage != Stage::over; }
   bool listed(const Worker& w) const { return w.known && w.standing == Standing::ready; }
   bool serves(const Worker& w, bool reads) const { return reads == (w.role == Role::reader); }
-  double readers() const {
-    const auto reads = [&](const Worker& w) { return listed(w) && w.role == Role::reader; };
-    return static_cast<double>(std::ranges::count_if(s_.workers, reads));
-  }
+  double readers() const { return static_cast<double>(s_.census.ready[1].size()); }
   const TrafficType& type(const Sequence& q) const { return d_.types[static_cast<std::size_t>(q.type)]; }
   Worker& at(int worker) { return s_.workers[static_cast<std::size_t>(worker)]; }
   const Worker& at(int worker) const { return s_.workers[static_cast<std::size_t>(worker)]; }
@@ -733,6 +797,10 @@
   Actions& out_;
   Nanos now_;
   Instance s_;
+  // Used again and again, for room: who may be sent to, who leads, who is near the best and its weight.
+  mutable std::vector<int> usable_;
+  std::vector<int> holders_;
+  std::vector<std::pair<int, double>> near_;
 };
 
 }  // namespace
--- a/src/state.h
+++ b/src/state.h
@@ -108,11 +108,13 @@
   bool on_trial{};   // back from being aside, one sequence at a time until it answers
   double strikes{};  // failures, ageing with every success
   Nanos full_until{};
-  int pending{};           // own attempts out, neither read nor begun to stream
-  int states{};            // own states that wait here
-  double read_tokens{};    // own tokens waiting to be read here
-  double stream_tokens{};  // own tokens held or on their way here
-  double since_report{};   // of these, sent since the last report
+  int pending{};                    // own attempts out, neither read nor begun to stream
+  int states{};                     // own states that wait here
+  double read_tokens{};             // own tokens waiting to be read here
+  double stream_tokens{};           // own tokens held or on their way here
+  mutable Nanos late_from{kNever};  // no attempt that is out here and unheard is late before
+  bool watched{};                   // among those that a rule may act on
+  double since_report{};            // of these, sent since the last report
   Nanos reported{};
   double sequences{-1};
   double own_at_report{};
@@ -120,6 +122,7 @@
   double took{};  // decayed sums: seconds its reads took, and should have taken
   double should_take{};
   Nanos paced_at{};
+  double pace{}, ease{}, gain{}, full{};  // while one choice among the workers is made
 };
 
 struct Holding {
@@ -128,6 +131,13 @@
   Nanos at{};
 };
 
+// Who is listed, counted when a list ends: [0] for writers and mixed workers, [1] for readers.
+struct Census {
+  std::vector<int> ready[2];  // by small index, ascending
+  std::unordered_map<int, double> in_zone[2];
+  std::unordered_map<int, std::unordered_map<int, double>> in_cell[2];  // by zone, then cell
+};
+
 struct Instance {
   std::vector<Sequence> sequences;  // by small index
   std::vector<int> live;            // those that a rule may act on, in order of arrival
@@ -135,6 +145,8 @@
   std::uint64_t came{};
   int in_flight{};              // sequences that are reading, read or writing
   std::vector<Worker> workers;  // by small index
+  std::vector<int> watched;     // those with attempts pending, or failures
+  Census census;
   std::unordered_map<std::uint64_t, std::vector<Holding>> holders;
   double limit{};         // sequences in flight before their first token
   Mean memory_shares[3];  // of the workers heard, by role,
