--- a/programs/cost.cpp
+++ b/programs/cost.cpp
@@ -175,7 +175,8 @@
   if (mkdtemp(name) == nullptr) throw std::runtime_error("no folder for callgrind's files");
   const std::string folder = name;
   const std::string command = fmt::format(
-      "valgrind --tool=callgrind --collect-atstart=no --callgrind-out-file={0}/out {1} --play {2} --dump "
+      "SIMDJSON_FORCE_IMPLEMENTATION=westmere valgrind --tool=callgrind --collect-atstart=no "
+      "--callgrind-out-file={0}/out {1} --play {2} --dump "
       ">{0}/log 2>&1",
       folder, self, play.name);
   if (std::system(command.c_str()) != 0)
@@ -195,7 +196,7 @@
       break;
     }
   }
-  std::filesystem::remove_all(folder);
+  if (std::getenv("CRESSRILL_KEEP_DUMPS") == nullptr) std::filesystem::remove_all(folder);
 }
 
 }  // namespace
@@ -203,27 +204,31 @@
 int main(int argc, char** argv) {
   CLI::App app{"Counts what one sequence costs the router, by stage; all servers are stand-ins.",
                "cressrill-cost"};
-  std::vector<std::string> names;
+  std::vector<std::string> names, with_instructions;
   std::string compared, written;
-  bool instructions = false, dump = false;
+  bool dump = false;
   std::vector<std::string> known;
   for (const Play& p : plays()) known.push_back(p.name);
   app.add_option("--play", names, "which kinds of sequence; all when none is named")
       ->check(CLI::IsMember(known));
   app.add_option("--compare", compared, "a file of kept counts: fails where one rose by more than a tenth");
   app.add_option("--write", written, "writes the counts to a file, to be kept");
-  app.add_flag("--instructions", instructions, "also instructions, by valgrind's callgrind (slow)");
+  app.add_option("--instructions-of", with_instructions,
+                 "also instructions of these, by valgrind's callgrind (slow)")
+      ->check(CLI::IsMember(known));
   app.add_flag("--dump", dump, "for the run under callgrind")->group("");
   if (const auto code = read_command_line(app, argc, argv)) return *code;
   const auto run = [&] {
     rig::Probe probe;
-    Stage last = Stage::accept;
     if (dump) {
       probe.begins = [] { CALLGRIND_TOGGLE_COLLECT; };
-      probe.ends = [&](Stage stage) {
-        CALLGRIND_TOGGLE_COLLECT;
-        (void)last;
-        switch (stage) {  // the name must be a literal
+      probe.ends = [] { CALLGRIND_TOGGLE_COLLECT; };
+      probe.was = [](std::optional<Stage> stage) {
+        if (!stage) {
+          CALLGRIND_ZERO_STATS;
+          return;
+        }
+        switch (*stage) {  // the name must be a literal
           case Stage::accept:
             CALLGRIND_DUMP_STATS_AT("accept");
             break;
@@ -254,7 +259,7 @@
       if (!names.empty() && std::ranges::find(names, play.name) == names.end()) continue;
       Counted counted = rig::count(play, probe);
       if (dump) return kFine;
-      if (instructions)
+      if (std::ranges::find(with_instructions, play.name) != with_instructions.end())
         add_instructions(play, counted, std::filesystem::read_symlink("/proc/self/exe").string());
       fmt::print("{}\n", table(play, counted));
       std::fflush(stdout);
--- a/rig/cost.cpp
+++ b/rig/cost.cpp
@@ -287,22 +287,23 @@
   // All that the router can do now. Its last look at the sockets, which finds nothing, stands for the wait.
   bool turn() {
     told_ = {};
-    if (probe_.begins && counting_) probe_.begins();
     const Cost before = now_of(inside_);
-    heap.on = counting_;
     bool any = false;
+    heap.on = counting_;
+    if (probe_.begins && counting_) probe_.begins();
     while (inside_.round()) any = true;
+    if (probe_.ends && counting_) probe_.ends();
     heap.on = false;
     Cost cost = now_of(inside_) - before;
     next_turn_ = outside_.now() + play_.busy;
     if (!any) {  // a look between two moments that a waiting router would not have taken
-      if (probe_.ends && counting_) probe_.ends(Stage::rest);
+      if (probe_.was && counting_) probe_.was(std::nullopt);
       return false;
     }
     // The look that finds nothing is the wait that the next turn begins with: counted there.
     --cost.by_name[static_cast<std::size_t>(io::Call::epoll_wait)], --cost.calls;
     const Stage stage = stage_of(cost);
-    if (probe_.ends && counting_) probe_.ends(stage);
+    if (probe_.was && counting_) probe_.was(stage);
     if (counting_) {
       result_.stages[static_cast<std::size_t>(stage)] += cost;
       result_.stages[static_cast<std::size_t>(Stage::decide)] += told_.decide;
--- a/rig/cost.h
+++ b/rig/cost.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -60,11 +61,12 @@
   std::size_t failed{};                // sequences not answered as they should be
 };
 
-// begins and ends are called around each of the router's turns, ends with its stage: for a tool that counts
-// instructions.
+// For a tool that counts instructions: begins and ends are called close around each of the router's turns, and then
+// was, with what the turn was; nothing where it was none.
 struct Probe {
   std::function<void()> begins;
-  std::function<void(Stage)> ends;
+  std::function<void()> ends;
+  std::function<void(std::optional<Stage>)> was;
 };
 
 Counted count(const Play& play, const Probe& probe = {});
