--- a/benchmarks/decide.cpp
+++ b/benchmarks/decide.cpp
@@ -2,6 +2,8 @@
 // answers in a steady way.
 #include <benchmark/benchmark.h>
 
+#include <deque>
+
 #include "policy.h"
 
 namespace cressrill {
@@ -13,22 +15,44 @@
 // Keeps so many sequences streaming, and lets one come, be read, begin and end with each turn: four inputs.
 class Fleet final : public Actions {
  public:
-  Fleet(int live, int workers) : policy_(make_policy(deployment(), 7, now_, *this)) {
+  // slo_s: how patient they are; past some share of it none stays in line.
+  Fleet(int live, int workers, int slo_s = 2) : policy_(make_policy(deployment(slo_s), 7, now_, *this)) {
     policy_->list_begins(now_, true);
     for (int w = 0; w < workers; ++w)
       policy_->worker_listed(w, static_cast<std::uint64_t>(w) + 1, Standing::ready, 0, w % 2, 0, w / 8);
     policy_->list_ends();
+    if (slo_s > 2) return;
     for (int i = 0; i < live; ++i) begin(i);
     next_ = live;
   }
 
+  // A line of so many before the readers, all that may be in flight being so.
+  void queue(int live) {
+    sent_ = 0;
+    for (int i = 0; i < live; ++i) come(i);
+    next_ = live, in_flight_ = sent_;
+  }
+  // One more comes, and one of those in flight is read, begins and ends: the first in line is sent in its place.
+  void queue_turn() {
+    come(next_++);
+    const int seq = sent_order_.front();
+    sent_order_.pop_front();
+    now_ += kMs;
+    policy_->attempt_ended(now_, seq, 0, Outcome::read_done, 20 * kMs, false, 1000, {true, 3, 0.2});
+    policy_->stream_began(now_, seq, 1, 10 * kMs);
+    policy_->attempt_ended(now_, seq, 1, Outcome::generated, 100 * kMs, true, 0, {});
+  }
+
   void turn() {
     begin(next_);
     policy_->attempt_ended(now_, oldest_, 1, Outcome::generated, 100 * kMs, true, 0, {});
     ++oldest_, ++next_;
   }
 
-  void send(int seq, int worker, Nanos) override { sent_seq_ = seq, sent_worker_ = worker; }
+  void send(int seq, int worker, Nanos) override {
+    ++sent_;
+    if (worker % 2 == 0) sent_order_.push_back(seq);
+  }
   void let_go(int) override {}
   void cancel(int, int) override {}
   void reject(int, Nanos) override { ++rejected_; }
@@ -40,9 +64,9 @@
   int rejected() const { return rejected_; }
 
  private:
-  static Deployment deployment() {
+  static Deployment deployment(int slo_s) {
     Deployment d;
-    d.types.push_back({Effect::repeatable, Group::all, 0, 1500 * kMs, 40 * kMs, 1});
+    d.types.push_back({Effect::repeatable, Group::all, 0, slo_s * 1000 * kMs, 40 * kMs, 1});
     d.kinds = {{Role::reader, 0}, {Role::writer, 0}};
     d.routers = 1, d.tick = 2 * kMs, d.attempts_cap = 6;
     d.cancelling = d.second_copies = true;
@@ -50,16 +74,22 @@
     d.fall_multiple = 2.5, d.fall_span = 1'500 * kMs;
     return d;
   }
+  void come(int seq) {
+    now_ += kMs / 10;
+    const auto session = static_cast<std::uint64_t>(seq % 997 + 1);
+    policy_->sequence_came(now_, seq, 0, 0, session, session % 13 + 1, 2000, 1000, 200,
+                           now_ + 6'000'000 * kMs);
+  }
   void begin(int seq) {
     now_ += kMs;
-    const auto session = static_cast<std::uint64_t>(seq % 997 + 1);
-    policy_->sequence_came(now_, seq, 0, 0, session, session % 13 + 1, 2000, 1000, 200, now_ + 6000 * kMs);
+    come(seq);
     policy_->attempt_ended(now_, seq, 0, Outcome::read_done, 20 * kMs, false, 1000, {true, 3, 0.2});
     policy_->stream_began(now_, seq, 1, 10 * kMs);
   }
 
   Nanos now_{1000 * kMs};
-  int sent_seq_{}, sent_worker_{}, next_{}, oldest_{}, rejected_{};
+  int sent_{}, in_flight_{}, next_{}, oldest_{}, rejected_{};
+  std::deque<int> sent_order_;
   std::unique_ptr<Policy> policy_;
 };
 
@@ -77,6 +107,19 @@
     ->ArgNames({"live", "workers"})
     ->Iterations(200);
 
+void inputs_with_a_line(benchmark::State& state) {
+  Fleet fleet(0, static_cast<int>(state.range(1)), 100'000);
+  fleet.queue(static_cast<int>(state.range(0)));
+  for (auto _ : state) fleet.queue_turn();
+  state.SetItemsProcessed(state.iterations() * 4);
+  if (fleet.rejected() > 0)
+    state.SkipWithError("a sequence was turned away: the figure is of something else");
+}
+BENCHMARK(inputs_with_a_line)
+    ->ArgsProduct({{10, 100, 1000}, {10, 100, 1000}})
+    ->ArgNames({"waiting", "workers"})
+    ->Iterations(200);
+
 }  // namespace
 
 }  // namespace cressrill
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -98,6 +98,7 @@
       s_.census.ready[reads].push_back(i);
       ++s_.census.in_zone[reads][w.zone], ++s_.census.in_cell[reads][w.zone][w.cell];
     }
+    while (!s_.queue.empty()) unparked(s_.queue.back());
     run();
   }
 
@@ -203,6 +204,7 @@
         {&Router::ready_to_read, &Router::read},
         {&Router::too_long_in_line, &Router::give_up},
     }};
+    if (!line_quiet()) call_due();
     for (bool fired = true; fired;) {
       fired = false;
       for (const Rule<Worker>& rule : worker_rules)
@@ -210,21 +212,30 @@
           Worker& w = at(s_.watched[i]);
           if ((this->*rule.when)(w)) (this->*rule.then)(w), fired = true;
         }
-      for (const Rule<Sequence>& rule : sequence_rules)
+      for (const Rule<Sequence>& rule : sequence_rules) {
+        const bool reads = rule.then == &Router::read;
+        if (reads) call_first();
         for (std::size_t i = 0; i < s_.live.size(); ++i) {
           Sequence& q = sequence(s_.live[i]);
-          if ((this->*rule.when)(q)) (this->*rule.then)(q), fired = true;
+          if (!(this->*rule.when)(q)) continue;
+          (this->*rule.then)(q), fired = true;
+          if (reads) call_first();
         }
+      }
     }
     std::erase_if(s_.watched, [&](int i) {
       Worker& w = at(i);
       return !(w.watched = w.pending > 0 || w.strikes >= kStrikesOut);
     });
     if (d_.asks_for_list && now_ - s_.list_asked > d_.must_ask_in / 2) s_.list_asked = now_, out_.subscribe();
-    // Streams with no other attempt out are no rule's matter until something happens to them: thousands wait so.
+    // No rule's matter, and thousands wait so: streams with no other attempt out, until something happens to them;
+    // those in line, until their time comes or, one at a time, their turn.
     s_.parked += std::erase_if(s_.live, [&](int id) {
       Sequence& q = sequence(id);
-      return q.parked = q.stage == Stage::streaming && std::ranges::none_of(q.attempts, unanswered);
+      const bool waits = q.stage == Stage::waiting;
+      q.parked = (waits || q.stage == Stage::streaming) && std::ranges::none_of(q.attempts, unanswered);
+      if (q.parked && waits) s_.queue.push_back(id), note_line(q);
+      return q.parked;
     });
     if (s_.live.size() + s_.parked > 0 && s_.woken_at <= now_) s_.woken_at = now_ + kPulse, out_.wake(kPulse);
     sweep_holders();
@@ -234,12 +245,42 @@
   Sequence& unparked(int seq) {
     Sequence& q = sequence(seq);
     if (!q.parked) return q;
+    if (q.stage == Stage::waiting) s_.queue.erase(std::ranges::find(s_.queue, seq));
     q.parked = false, --s_.parked;
     const auto order = [&](int id) { return sequence(id).order; };
     s_.live.insert(std::ranges::lower_bound(s_.live, q.order, {}, order), seq);
     return q;
   }
 
+  // The line: when a rule that waits for a time may act on one of it, at the earliest.
+  void note_line(const Sequence& q) {
+    s_.queue_due = std::min(s_.queue_due, patient_until(q));
+    s_.queue_abandon = std::min(s_.queue_abandon, q.abandon_at);
+  }
+  Nanos patient_until(const Sequence& q) const {
+    const auto patience = static_cast<Nanos>(kPatience * static_cast<double>(q.slo_at - q.came));
+    return q.attempts.empty() ? q.came + patience - 1 : std::max(q.came + patience - 1, q.slo_at);
+  }
+  bool pressed(Nanos patient, Nanos abandon) const {
+    const Nanos longest = nanos(s_.first_wait + (readers() > 0) * s_.read_wait);
+    return now_ >= patient || now_ + longest > abandon || now_ >= abandon - 2 * d_.tick - kPulse;
+  }
+  bool line_quiet() const { return s_.queue.empty() || !pressed(s_.queue_due, s_.queue_abandon); }
+  void call_due() {
+    std::vector<int> due;
+    s_.queue_due = s_.queue_abandon = kNever;
+    for (const int id : s_.queue)
+      pressed(patient_until(sequence(id)), sequence(id).abandon_at) ? due.push_back(id)
+                                                                    : note_line(sequence(id));
+    for (const int id : due) unparked(id);
+  }
+  // While another may be read: the first in line takes part, and all others come after it.
+  void call_first() {
+    if (s_.queue.empty() || in_flight() >= s_.limit) return;
+    const auto first = [&](int a, int b) { return before(sequence(a), sequence(b)); };
+    unparked(*std::ranges::min_element(s_.queue, first));
+  }
+
   // Workers: what ails them.
 
   // Guards against machines that vanish or hang and against cut links: attempts are overdue, and nothing was
--- a/src/state.h
+++ b/src/state.h
@@ -141,7 +141,10 @@
 struct Instance {
   std::vector<Sequence> sequences;  // by small index
   std::vector<int> live;            // those that a rule may act on, in order of arrival
-  std::size_t parked{};             // and how many more there are
+  std::size_t parked{};             // and how many more there are,
+  std::vector<int> queue;           // of which these wait for a read,
+  Nanos queue_due{kNever};          // none of them with its patience at an end before this,
+  Nanos queue_abandon{kNever};      // or abandoned before this
   std::uint64_t came{};
   int in_flight{};              // sequences that are reading, read or writing
   std::vector<Worker> workers;  // by small index
