--- a/tests/io_test.cpp
+++ b/tests/io_test.cpp
@@ -259,6 +259,46 @@
   CHECK(targets == "/one b;/two b;/three b;");
 }
 
+TEST_CASE("a stream may be of any length; what is kept whole is bounded") {
+  io::Loop loop(io::Loop::Time::handed);
+  constexpr std::size_t kParts = 300, kPart = 40'000;
+  http::Server server(loop, kAnyPort, [&](http::Request&, http::Answer& answer) -> io::Task<> {
+    const std::string part(kPart, 'x');
+    answer.begin_with_part(200, "");
+    for (std::size_t i = 0; i < kParts; ++i)
+      if (!co_await answer.part(part)) co_return;
+    co_await answer.end("last");
+  });
+  std::size_t streamed = 0;
+  http::Fault ended{}, kept{};
+  io::Scope scope(loop);
+  scope.spawn(
+      [](io::Loop& l, io::Address to, std::size_t& bytes, http::Fault& one, http::Fault& two) -> io::Task<> {
+        for (const bool whole : {false, true}) {
+          io::Socket socket;
+          co_await io::connect(l, to, socket);
+          co_await socket.write_all(http::request_text("GET", "/", "h", "", ""));
+          http::Reader reader(socket, http::Kind::response);
+          http::Head head;
+          co_await reader.head(head);
+          std::string all;
+          if (whole) {
+            two = co_await reader.rest(all);
+            continue;
+          }
+          while (reader.more() && one == http::Fault::none) {
+            std::span<const std::string_view> pieces;
+            one = co_await reader.pieces(pieces);
+            for (const std::string_view piece : pieces) bytes += piece.size();
+          }
+        }
+      }(loop, server.address(), streamed, ended, kept));
+  loop.run_until([&] { return scope.empty(); });
+  CHECK(ended == http::Fault::none);
+  CHECK(streamed == kParts * kPart + 4);
+  CHECK(kept == http::Fault::body_large);
+}
+
 TEST_CASE("addresses are read whole or not at all") {
   CHECK(io::parse_address("127.0.0.1:80")->text() == "127.0.0.1:80");
   for (const char* bad : {"", "127.0.0.1", "127.0.0.1:", "127.0.0.1:x", "127.0.0.1:80x", "127.0.0.1:70000",
--- a/tests/path_test.cpp
+++ b/tests/path_test.cpp
@@ -465,6 +465,51 @@
   for (const rig::Finding& f : v.rules) CHECK_MESSAGE((f.offences > 0) == (f.rule == rule), v.text());
 }
 
+TEST_CASE(
+    "fifty engines to which connections are opened in the same moment: each sequence is answered, none "
+    "slower") {
+  World w(25, 25);
+  for (int i = 0; i < 50; ++i) w.ask(w.question(fmt::format("s{}", i), 4));
+  std::set<std::string> engines;
+  io::Nanos slowest = 0;
+  for (int i = 0; i < 50; ++i) {
+    const rig::Heard& heard = w.answer(fmt::format("s{}", i));
+    CHECK(heard.how == "generated");
+    slowest = std::max(slowest, heard.first);
+  }
+  for (const auto& l : w.record.lines())
+    if (l.value("e", "") == "in") engines.insert(l.value("engine", ""));
+  CHECK(engines.size() > 25);
+  CHECK(slowest < 1'500 * io::kMs);
+  w.kept();
+}
+
+TEST_CASE("a client that reads nothing costs the fast ones beside it nothing") {
+  std::string traces[2];
+  for (const bool slow : {false, true}) {
+    World w;
+    io::Scope reading(w.loop);
+    if (slow) {
+      // Two thousand events for a client that takes none of them.
+      const rig::Question q = w.question("slow", 2'000);
+      reading.spawn([](World& world, rig::Question it) -> io::Task<> {
+        io::Socket socket;
+        co_await io::connect(world.loop, it.at, socket);
+        co_await socket.write_all(http::request_text("POST", it.path, it.at.text(), "", it.body));
+        co_await world.loop.sleep_for(3'600 * io::kSecond);
+      }(w, q));
+    }
+    w.pass(200);
+    for (int i = 0; i < 8; ++i) w.ask(w.question(fmt::format("f{}", i), 30));
+    for (int i = 0; i < 8; ++i) {
+      const rig::Heard& h = w.answer(fmt::format("f{}", i));
+      traces[slow] +=
+          fmt::format("f{} {} {} tokens, {} ms\n", i, h.how, h.tokens, h.took / (100 * io::kMs) * 100);
+    }
+  }
+  CHECK(traces[0] == traces[1]);
+}
+
 TEST_CASE("a host without rule 1's answers is caught") {
   World w(1, 1, faulty(1));
   for (auto& e : w.engines) e->apply(fault("fast_errors", 1, 20'000));
