--- a/router/host.cpp
+++ b/router/host.cpp
@@ -110,6 +110,11 @@
         if (static_cast<int>(k) == run.takes) ask.runs[k]->holds_state = false;
         if (ask.runs[k]->holds_state) release(ask, static_cast<int>(k));
       }
+      // No further attempt will need the body; another that is still out may be writing it.
+      if (std::ranges::none_of(ask.runs, [&](const auto& r) { return r->out && r.get() != &run; })) {
+        ask.facts.passed_on.clear();
+        std::string().swap(ask.facts.body);
+      }
       policy_->stream_began(now, ask.seq, input.attempt, now - run.sent);
       if (ask.client_left) end(ask, input.attempt, Outcome::cancelled);
       break;
