--- a/docs/measurements/plots.gp
+++ b/docs/measurements/plots.gp
@@ -1,5 +1,5 @@
 # Draws the plots of ordinary-path.md from the data beside it: gnuplot docs/measurements/plots.gp, from the root.
-set terminal svg size 640,360 font 'sans,11' background 'white'
+set terminal svg size 760,360 font 'sans,11' background 'white'
 set datafile separator "\t"
 set grid
 data = 'docs/measurements/data/'
@@ -8,7 +8,7 @@
 set logscale xy
 set xlabel 'sequences'
 set ylabel 'microseconds an input'
-set key left top
+set key outside right top
 set yrange [0.3:3000]
 set output plots.'decide-line.svg'
 set title 'An input with so many in line: before (dashed), now'
