--- a/programs/cost.cpp
+++ b/programs/cost.cpp
@@ -130,6 +130,7 @@
   };
   add("all", counted.all);
   add("event", counted.stages[static_cast<std::size_t>(Stage::event)] / counted.events);
+  add("parse", counted.stages[static_cast<std::size_t>(Stage::parse)]);
   add("decide", counted.stages[static_cast<std::size_t>(Stage::decide)]);
   return out;
 }
@@ -194,7 +195,8 @@
       if (!text.starts_with("summary: ") && !text.starts_with("totals: ")) continue;
       if (Cost* cost = of(counted, stage)) {
         const double spent = std::stod(text.substr(text.find(' '))) / n;
-        cost->instructions += spent, counted.all.instructions += spent;
+        cost->instructions += spent;
+        if (stage != word(Stage::parse)) counted.all.instructions += spent;
       }
       break;
     }
@@ -250,6 +252,9 @@
           case Stage::end:
             CALLGRIND_DUMP_STATS_AT("end");
             break;
+          case Stage::parse:
+            CALLGRIND_DUMP_STATS_AT("parse");
+            break;
           default:
             CALLGRIND_DUMP_STATS_AT("rest");
             break;
--- a/rig/cost.cpp
+++ b/rig/cost.cpp
@@ -15,8 +15,8 @@
 Heap heap;
 
 const char* word(Stage stage) {
-  static constexpr const char* words[] = {"accept", "request", "read", "first",
-                                          "event",  "end",     "rest", "decide"};
+  static constexpr const char* words[] = {"accept", "request", "read",  "first", "event",
+                                          "end",    "rest",    "parse", "decide"};
   return words[static_cast<std::size_t>(stage)];
 }
 
@@ -203,9 +203,10 @@
     result_ = {};
     ask_all(play_.sequences);
     counting_ = false;
+    parse(play_.sequences * play_.at_once);
     const double n = play_.sequences * play_.at_once;
     for (std::size_t s = 0; s < kStages; ++s) {
-      if (static_cast<Stage>(s) != Stage::decide) result_.all += result_.stages[s];
+      if (static_cast<Stage>(s) < Stage::parse) result_.all += result_.stages[s];
       result_.stages[s] = result_.stages[s] / n;
     }
     result_.all = result_.all / n;
@@ -237,6 +238,23 @@
     }
   }
 
+  // What the request turns do first, done again by itself.
+  void parse(int times) {
+    for (int i = 0; i < times; ++i) {
+      std::string body = body_;
+      body.reserve(body.size() + http::kSlack);
+      const Cost before = now_of(inside_);
+      heap.on = true;
+      if (probe_.begins) probe_.begins();
+      const auto facts = core::read_sequence(core::Api::chat, std::move(body), {});
+      if (probe_.ends) probe_.ends();
+      heap.on = false;
+      if (probe_.was) probe_.was(Stage::parse);
+      result_.stages[static_cast<std::size_t>(Stage::parse)] += now_of(inside_) - before;
+      if (!std::holds_alternative<core::Facts>(facts)) ++result_.failed;
+    }
+  }
+
   void ask(int events, bool idle) {
     Question q;
     q.sequence = fmt::format("q{}", ++asked_), q.id = q.sequence + ".0", q.router = "r", q.type = "plain";
@@ -252,6 +270,7 @@
         {"metadata", {{"out", std::to_string(events)}}},
         {"stream",
          q.stream}}.dump();
+    if (!idle) body_ = q.body;
     if (idle) q.on_first = [this] { ++begun_; };
     clients_.spawn([](Stepped& s, Question it, bool open) -> io::Task<> {
       const Heard heard = co_await rig::ask(s.outside_, s.nothing_, std::move(it));
@@ -335,6 +354,7 @@
   io::Scope clients_;
   Told told_;
   Counted result_;
+  std::string body_;  // of the last that was asked
   io::Nanos next_turn_{};
   bool counting_{};
   int asked_{}, answered_{}, begun_{}, failing_{};
--- a/rig/cost.h
+++ b/rig/cost.h
@@ -36,9 +36,10 @@
   Cost operator/(double n) const;
 };
 
-// What the router's turns are caused by, in the order of an ordinary sequence. decide: the module alone, within any.
-enum class Stage { accept, request, read, first, event, end, rest, decide };
-constexpr std::size_t kStages = 8;
+// What the router's turns are caused by, in the order of an ordinary sequence. The last two are parts of the others:
+// parse, the reading of the request's body alone, and decide, the module alone.
+enum class Stage { accept, request, read, first, event, end, rest, parse, decide };
+constexpr std::size_t kStages = 9;
 const char* word(Stage stage);
 
 struct Play {
@@ -55,7 +56,7 @@
 };
 
 struct Counted {
-  std::array<Cost, kStages> stages{};  // of one sequence, on average; decide is part of the others
+  std::array<Cost, kStages> stages{};  // of one sequence, on average; the last two are part of the others
   Cost all;                            // of one sequence
   double events{};                     // that one sequence got
   std::size_t failed{};                // sequences not answered as they should be
