Twins and dead state of the cost tool are gone; kept counts are read once

Cause: the tool opened the file of kept counts once for each count, counted around the module by two copies of one function, and held a recorder, a reset of a head and two counters that nothing used. Change: the counts are read into a map; one function counts a call, taken off for the host's part; the two benchmarks of an input end alike.

--- a/benchmarks/decide.cpp
+++ b/benchmarks/decide.cpp
@@ -28,9 +28,8 @@
 
   // A line of so many before the readers, all that may be in flight being so.
   void queue(int live) {
-    sent_ = 0;
     for (int i = 0; i < live; ++i) come(i);
-    next_ = live, in_flight_ = sent_;
+    next_ = live;
   }
   // One more comes, and one of those in flight is read, begins and ends: the first in line is sent in its place.
   void queue_turn() {
@@ -50,7 +49,6 @@
   }
 
   void send(int seq, int worker, Nanos) override {
-    ++sent_;
     if (worker % 2 == 0) sent_order_.push_back(seq);
   }
   void let_go(int) override {}
@@ -88,20 +86,23 @@
   }
 
   Nanos now_{1000 * kMs};
-  int sent_{}, in_flight_{}, next_{}, oldest_{}, rejected_{};
+  int next_{}, oldest_{}, rejected_{};
   std::deque<int> sent_order_;
   std::unique_ptr<Policy> policy_;
 };
 
-void inputs(benchmark::State& state) {
-  Fleet fleet(static_cast<int>(state.range(0)), static_cast<int>(state.range(1)));
-  for (auto _ : state) fleet.turn();
+// Each turn is four inputs.
+void finish(benchmark::State& state, const Fleet& fleet) {
   state.SetItemsProcessed(state.iterations() * 4);
-  state.counters["an_input"] = benchmark::Counter(static_cast<double>(state.iterations()) * 4,
-                                                  benchmark::Counter::kIsRate | benchmark::Counter::kInvert);
   if (fleet.rejected() > 0)
     state.SkipWithError("a sequence was turned away: the figure is of something else");
 }
+
+void inputs(benchmark::State& state) {
+  Fleet fleet(static_cast<int>(state.range(0)), static_cast<int>(state.range(1)));
+  for (auto _ : state) fleet.turn();
+  finish(state, fleet);
+}
 BENCHMARK(inputs)
     ->ArgsProduct({{10, 100, 1000}, {10, 100, 1000}})
     ->ArgNames({"live", "workers"})
@@ -111,9 +112,7 @@
   Fleet fleet(0, static_cast<int>(state.range(1)), 100'000);
   fleet.queue(static_cast<int>(state.range(0)));
   for (auto _ : state) fleet.queue_turn();
-  state.SetItemsProcessed(state.iterations() * 4);
-  if (fleet.rejected() > 0)
-    state.SkipWithError("a sequence was turned away: the figure is of something else");
+  finish(state, fleet);
 }
 BENCHMARK(inputs_with_a_line)
     ->ArgsProduct({{10, 100, 1000}, {10, 100, 1000}})
--- a/http/message.cpp
+++ b/http/message.cpp
@@ -209,7 +209,6 @@
   Parts& p = *parts_;
   p.fresh(&to);
   if (p.used == p.size && p.room > kSmall) p.buffer.reset(), p.room = p.used = p.size = 0;
-  to.reset(0);
   for (;;) {
     Error error;
     // Beast reads a head once it is whole: no more text than is in hand will be kept.
--- a/programs/cost.cpp
+++ b/programs/cost.cpp
@@ -12,7 +12,6 @@
 #include <filesystem>
 #include <fstream>
 #include <new>
-#include <regex>
 
 #include "command_line.h"
 
@@ -135,34 +134,39 @@
   return out;
 }
 
-// A count may be a tenth higher than the kept one, or by a hundredth of one where the kept one is nothing.
-int compare(const std::map<std::string, double>& now, const std::string& file) {
+std::map<std::string, double> read_counts(const std::string& file) {
   std::ifstream in(file);
   if (!in) throw std::runtime_error(file + ": cannot be read");
-  std::size_t compared = 0, risen = 0, line = 0;
+  std::map<std::string, double> out;
+  int line = 0;
   for (std::string text; std::getline(in, text);) {
     ++line;
     if (text.empty() || text.front() == '#') continue;
     const std::size_t space = text.rfind(' ');
-    double kept = 0;
     try {
-      kept = std::stod(text.substr(space + 1));
+      out[text.substr(0, space)] = std::stod(text.substr(space + 1));
     } catch (const std::exception&) {
       throw std::runtime_error(fmt::format("{}:{}: no count at the end of the line", file, line));
     }
-    const auto it = now.find(text.substr(0, space));
-    if (it == now.end()) continue;
-    ++compared;
-    if (it->second <= kept * 1.1 + 0.01) continue;
-    ++risen;
-    fmt::print("risen by more than a tenth: {} was {:.2f}, is {:.2f}\n", it->first, kept, it->second);
   }
+  return out;
+}
+
+// A count may be a tenth higher than the kept one, or by a hundredth of one where the kept one is nothing.
+int compare(const std::map<std::string, double>& now, const std::string& file) {
+  const std::map<std::string, double> kept = read_counts(file);
+  std::size_t compared = 0, risen = 0;
   for (const auto& [name, value] : now) {
-    (void)value;
-    std::ifstream again(file);
-    bool found = false;
-    for (std::string text; !found && std::getline(again, text);) found = text.starts_with(name + " ");
-    if (!found) ++risen, fmt::print("not kept yet: {}\n", name);
+    const auto it = kept.find(name);
+    if (it == kept.end()) {
+      ++risen;
+      fmt::print("not kept yet: {}\n", name);
+      continue;
+    }
+    ++compared;
+    if (value <= it->second * 1.1 + 0.01) continue;
+    ++risen;
+    fmt::print("risen by more than a tenth: {} was {:.2f}, is {:.2f}\n", name, it->second, value);
   }
   fmt::print("{} counts compared with {}, {} risen or not kept\n", compared, file, risen);
   return compared > 0 && risen == 0 ? kFine : kFailed;
@@ -287,7 +291,7 @@
   // The router's own log lines are part of what it does, and of no use here; what goes wrong is told all the same.
   const int told = ::dup(STDERR_FILENO);
   if (std::freopen("/dev/null", "w", stderr) == nullptr) return kFailed;
-  const int code = guarded("cressrill-cost", [&] {
+  return guarded("cressrill-cost", [&] {
     try {
       return run();
     } catch (const std::exception&) {
@@ -295,5 +299,4 @@
       throw;
     }
   });
-  return code;
 }
--- a/rig/cost.cpp
+++ b/rig/cost.cpp
@@ -27,9 +27,8 @@
   return *this;
 }
 Cost Cost::operator-(const Cost& o) const {
-  Cost out = *this;
-  Cost minus = o / -1;
-  return out += minus;
+  Cost out = o / -1;
+  return out += *this;
 }
 Cost Cost::operator/(double n) const {
   Cost out = *this;
@@ -95,24 +94,19 @@
   }
 
  private:
-  void timed(const std::function<void()>& call) {
-    const bool was = std::exchange(heap.on, false);
-    const Cost before = now_of(loop_);
-    heap.on = was;
-    call();
-    heap.on = false;
-    told_.decide += now_of(loop_) - before;
-    heap.on = was;
-  }
+  void timed(const std::function<void()>& call) { told_.decide += cost_of(call); }
   // The host's part, taken off what the call costs.
-  void host(const std::function<void()>& action) {
+  void host(const std::function<void()>& action) { told_.decide += cost_of(action) / -1; }
+  // The bookkeeping itself is not counted.
+  Cost cost_of(const std::function<void()>& call) const {
     const bool was = std::exchange(heap.on, false);
     const Cost before = now_of(loop_);
     heap.on = was;
-    action();
+    call();
     heap.on = false;
-    told_.decide += (now_of(loop_) - before) / -1;
+    const Cost cost = now_of(loop_) - before;
     heap.on = was;
+    return cost;
   }
   void send(int seq, int worker, Nanos timeout) override {
     host([&] { out_.send(seq, worker, timeout); });
@@ -163,7 +157,6 @@
   Stepped(const Play& play, const Probe& probe)
       : play_(play),
         probe_(probe),
-        record_(outside_),
         nothing_(outside_, "/dev/null"),
         roster_(outside_, {127u << 24 | 1, 0}, nothing_),
         station_(station_of(roster_.address().text())),
@@ -344,7 +337,6 @@
   Probe probe_;
   io::Loop outside_{io::Loop::Time::handed};
   io::Loop inside_{io::Loop::Time::handed};
-  Recorder record_;
   Recorder nothing_;
   Roster roster_;
   core::Station station_;
