The router speaks the platform's protocol: one host behind a protocol interface

Need: the users want the product in service on their platform.

Change: what differs between OpenAI's API and the platform's protocol stands behind router::Protocol (reading a request, an attempt's text, what comes back means, letting go, final answers). platform/ holds the codec, the discovery watch and the node; profile/ the one decoder of settings, for the simulator's adapter and EDGE_CONFIG alike. http::Server has limits on a client's time and makes room at its bound. SIGTERM keeps the listener open until all is answered; SIGHUP moves discovery.

--- a/http/message.cpp
+++ b/http/message.cpp
@@ -338,11 +338,13 @@
     if (line.ends_with('\r')) line.remove_suffix(1);
     from = end + 1;
     if (line.empty()) {
+      raw_ = open_.substr(0, from);
       open_.remove_prefix(from);
       from = 0;
       if (lines > 0) return data;
       continue;
     }
+    if (line.starts_with(':')) comment_.assign(line.substr(1));
     if (!line.starts_with("data:")) continue;
     line.remove_prefix(5);
     if (line.starts_with(' ')) line.remove_prefix(1);
--- a/http/message.h
+++ b/http/message.h
@@ -100,13 +100,17 @@
 constexpr std::string_view kChunkEnd = "\r\n";
 constexpr std::string_view kLastChunk = "0\r\n\r\n";
 
-// Server-sent events (WHATWG HTML, 9.2): cuts a body into events. Only data lines are kept.
+// Server-sent events (WHATWG HTML, 9.2): cuts a body into events, by their data lines.
 class Events {
  public:
   // Bytes that stay in place until next() has given nothing, with kSlack readable ones after them.
   void feed(std::string_view bytes);
   // The data of the next whole event, until none is left. Good until the next call; kSlack readable bytes after it.
   std::optional<std::string_view> next();
+  // The event that next() gave, as it came, its empty line with it. Good for as long as that.
+  std::string_view raw() const { return raw_; }
+  // The last comment line that came, without its colon; empty where none came.
+  std::string_view comment() const { return comment_; }
   // Bytes of an event that has no end yet.
   std::size_t partial() const { return open_.size(); }
 
@@ -116,6 +120,8 @@
   }
   std::string_view open_;  // not cut yet: of what was fed or, where an event came in parts, of held_
   std::string held_;
+  std::string_view raw_;
+  std::string comment_;
   std::string joined_;  // an event of several data lines
 };
 
--- a/http/server.cpp
+++ b/http/server.cpp
@@ -7,6 +7,10 @@
 
 namespace cressrill::http {
 
+namespace {
+constexpr io::Nanos kLook = 100 * io::kMs;  // clients that are too slow are looked for this often
+}
+
 bool Answer::wrote(const io::Moved& moved) {
   if (!moved.ok()) broken_ = true, keep_alive_ = false;
   return moved.ok();
@@ -48,7 +52,8 @@
       closed_(loop),
       listener_(loop, address),
       sessions_(loop),
-      acceptor_(loop) {
+      acceptor_(loop),
+      keeper_(loop) {
   acceptor_.spawn(accept());
 }
 
@@ -56,10 +61,47 @@
   stopping_ = true;
   acceptor_.cancel();
   listener_.close();
-  while (!idle_.empty()) {
-    io::Socket& socket = idle_.front().socket;
-    idle_.pop_front();
-    socket.close();
+  close_quiet();
+}
+
+void Server::wind_down() {
+  stopping_ = true;
+  close_quiet();
+}
+
+void Server::close_quiet() {
+  for (auto it = quiet_.begin(); it != quiet_.end();) {
+    Quiet& q = *it++;
+    if (q.body) continue;
+    quiet_.erase(quiet_.iterator_to(q));
+    q.socket.close();
+  }
+}
+
+void Server::be_patient(Patience patience) {
+  patience_ = patience;
+  keeper_.spawn(end_overdue());
+}
+
+io::Task<> Server::end_overdue() {
+  for (;;) {
+    co_await loop_.sleep_for(kLook);
+    for (auto it = quiet_.begin(); it != quiet_.end();) {
+      Quiet& q = *it++;
+      if (q.due > loop_.now()) continue;
+      quiet_.erase(quiet_.iterator_to(q));
+      q.socket.close();
+    }
+  }
+}
+
+// At the bound the connection that has been quiet longest makes way.
+void Server::make_room() {
+  if (patience_.idle == 0) return;
+  for (Quiet& q : quiet_) {
+    if (q.body) continue;
+    quiet_.erase(quiet_.iterator_to(q));
+    return q.socket.close();
   }
 }
 
@@ -72,13 +114,15 @@
   acceptor_.cancel();
   listener_.close();
   sessions_.cancel();
-  idle_.clear();
   open_ = 0;
 }
 
 io::Task<> Server::accept() {
   for (;;) {
-    while (open_ >= connections_) co_await closed_.wait();
+    while (open_ >= connections_) {
+      make_room();
+      co_await closed_.wait();
+    }
     io::Socket socket = co_await listener_.accept();
     if (!socket.is_open()) co_return;
     ++open_;
@@ -103,27 +147,31 @@
 io::Task<> Server::serve(io::Socket socket) {
   Reader reader(socket, Kind::request, bounds_);
   Request request;
-  for (bool on = true; on && !stopping_ && socket.is_open();) {
+  const auto due = [this](io::Nanos span) { return span > 0 ? loop_.now() + span : io::Loop::kNoTimer; };
+  bool first = true;
+  for (bool on = true; on && socket.is_open(); first = false) {
     request.body.clear();
     Fault fault{};
     {
-      Idle idle(socket);
-      idle_.push_back(idle);
+      Quiet quiet(*this, socket, due(first ? patience_.first : patience_.idle));
       fault = co_await reader.head(request.head);
+      if (!first) quiet.due = due(patience_.request);
+      quiet.body = fault == Fault::none;
+      // RFC 9110, 10.1.1: the client may wait to be asked for the body.
+      if (fault == Fault::none && request.head.field("expect") == "100-continue" && reader.more())
+        co_await socket.write_all("HTTP/1.1 100 Continue\r\n\r\n");
+      if (fault == Fault::none) fault = co_await reader.rest(request.body);
     }
-    // RFC 9110, 10.1.1: the client may wait to be asked for the body.
-    if (fault == Fault::none && request.head.field("expect") == "100-continue" && reader.more())
-      co_await socket.write_all("HTTP/1.1 100 Continue\r\n\r\n");
-    if (fault == Fault::none) fault = co_await reader.rest(request.body);
     if (fault == Fault::closed) break;
     if (fault != Fault::none) {
       co_await refuse(socket, fault);
       break;
     }
+    request.came = loop_.now();
     Answer answer(socket, request.head.keep_alive && !stopping_);
     co_await handler_(request, answer);
     if (!answer.begun() && socket.is_open()) answer.break_off();
-    on = answer.keep_alive();
+    on = answer.keep_alive() && !stopping_;
   }
   socket.close();
   --open_;
--- a/http/server.h
+++ b/http/server.h
@@ -11,6 +11,7 @@
 struct Request {
   Head head;
   std::string body;  // with room for kSlack more
+  io::Nanos came{};  // when its last byte had been read
 };
 
 // What a handler answers with. A handler writes one whole response, or a stream, and nothing else.
@@ -27,6 +28,8 @@
   io::Task<bool> end(std::string_view data = {});
   // The peer is left without a proper end: it sees that the answer broke.
   void break_off() { keep_alive_ = false, socket_.close(true); }
+  // As that, but what was written still reaches it.
+  void cut() { keep_alive_ = false, socket_.close(); }
   io::Task<> peer_gone() { return socket_.peer_gone(); }
   io::Socket& socket() { return socket_; }
   bool begun() const { return begun_; }
@@ -43,6 +46,13 @@
   bool broken_{};
 };
 
+// How long a client may take; 0: as long as it likes.
+struct Patience {
+  io::Nanos first{};    // from connecting to the end of its first request
+  io::Nanos request{};  // from a later request's head to its end
+  io::Nanos idle{};     // between two requests; a head that has begun counts as idle
+};
+
 class Server {
  public:
   using Handler = std::function<io::Task<>(Request&, Answer&)>;
@@ -53,9 +63,15 @@
          std::size_t connections = 20'000);
   const io::Address& address() const { return listener_.address(); }
   void refuse_with(Refusal refusal) { refusal_ = std::move(refusal); }
+  // Ends connections whose clients take longer. Set before the first comes.
+  void be_patient(Patience patience);
+  // Connections end after the request that they carry, those that carry none at once; new ones are still taken.
+  void wind_down();
   // No new connections; those that are open end after the request that they carry.
   void stop_accepting();
   std::size_t connections() const { return open_; }
+  // Connections with a request in hand.
+  std::size_t in_hand() const { return open_ - quiet_count_; }
   // For stand-ins: takes a connection at most each so often, with no line of those that wait; 0 as usual.
   void accept_slowly(io::Nanos each);
   // Breaks every connection and stops listening.
@@ -74,15 +90,28 @@
   std::size_t open_{};
   bool stopping_{};
   io::Nanos accept_each_{};
-  struct Idle : io::intrusive::list_base_hook<io::AutoUnlink> {
-    explicit Idle(io::Socket& s) : socket(s) {}
+  // A connection that carries no whole request, from its beginning or its last answer on. In the list by that time.
+  struct Quiet : io::intrusive::list_base_hook<io::AutoUnlink> {
+    Quiet(Server& of, io::Socket& s, io::Nanos until) : server(of), socket(s), due(until) {
+      server.quiet_.push_back(*this), ++server.quiet_count_;
+    }
+    ~Quiet() { --server.quiet_count_; }
+    Server& server;
     io::Socket& socket;
+    io::Nanos due;
+    bool body{};  // its head has been read: it is not closed to make room
   };
-  io::intrusive::list<Idle, io::intrusive::constant_time_size<false>> idle_;  // between two requests
+  io::Task<> end_overdue();
+  void make_room();
+  void close_quiet();
+  Patience patience_;
+  std::size_t quiet_count_{};
+  io::intrusive::list<Quiet, io::intrusive::constant_time_size<false>> quiet_;
   io::Signal closed_;
   io::Listener listener_;
   io::Scope sessions_;
   io::Scope acceptor_;
+  io::Scope keeper_;
 };
 
 }  // namespace cressrill::http
--- a/io/signals.cpp
+++ b/io/signals.cpp
@@ -12,35 +12,37 @@
 
 namespace {
 int told = -1;
-void tell(int) {
+void tell(int number) {
   const int kept = errno;
-  const char one = 1;
+  const char one = static_cast<char>(number);
   static_cast<void>(!::write(told, &one, 1));
   errno = kept;
 }
 }  // namespace
 
-StopSignal::StopSignal(Loop& loop) {
+Signals::Signals(Loop& loop, std::initializer_list<int> numbers) : numbers_(numbers) {
   int pair[2];
   if (socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0, pair) != 0)
     throw std::system_error(errno, std::generic_category(), "socketpair");
   heard_ = Socket(loop, pair[0]);
   told = told_ = pair[1];
-  std::signal(SIGTERM, tell);
-  std::signal(SIGINT, tell);
+  for (const int n : numbers_) std::signal(n, tell);
 }
 
-StopSignal::~StopSignal() {
-  std::signal(SIGTERM, SIG_DFL);
-  std::signal(SIGINT, SIG_DFL);
+Signals::~Signals() {
+  for (const int n : numbers_) std::signal(n, SIG_DFL);
   ::close(told_);
 }
 
-Task<> StopSignal::wait() {
-  std::array<char, 8> some;
-  co_await heard_.read_some(some);
+Task<int> Signals::wait() {
+  std::array<char, 1> number{};
+  co_await heard_.read_some(number);
+  co_return number[0];
 }
 
+StopSignal::StopSignal(Loop& loop) : signals_(loop, {SIGTERM, SIGINT}) {}
+Task<> StopSignal::wait() { co_await signals_.wait(); }
+
 void run_until_told(Loop& loop) {
   StopSignal stop(loop);
   Scope scope(loop);
--- a/io/signals.h
+++ b/io/signals.h
@@ -1,19 +1,33 @@
-// SIGTERM and SIGINT as something to wait for. One for each process.
+// Signals as something to wait for: StopSignal for SIGTERM and SIGINT. One for each process.
 #pragma once
 
+#include <initializer_list>
+#include <vector>
+
 #include "socket.h"
 
 namespace cressrill::io {
 
+class Signals {
+ public:
+  Signals(Loop& loop, std::initializer_list<int> numbers);
+  ~Signals();
+  // The number of the next one that came.
+  Task<int> wait();
+
+ private:
+  Socket heard_;
+  int told_;
+  std::vector<int> numbers_;
+};
+
 class StopSignal {
  public:
   explicit StopSignal(Loop& loop);
-  ~StopSignal();
   Task<> wait();
 
  private:
-  Socket heard_;
-  int told_;
+  Signals signals_;
 };
 
 // Runs until one of the signals comes.
--- a/simhost/profile.cpp
+++ b/profile/profile.cpp
@@ -6,9 +6,7 @@
 #include <optional>
 #include <string>
 
-#include "frame.h"
-
-namespace cressrill::simhost {
+namespace cressrill::profile {
 
 namespace {
 
@@ -45,7 +43,7 @@
   }
   std::string word(const std::string& key) const {
     if (auto value = find(key)) return *value;
-    throw WireError("settings: '" + key + "' is missing");
+    throw ProfileError("settings: '" + key + "' is missing");
   }
   double number(const std::string& key) const { return parse(key, word(key)); }
   double number_or_zero(const std::string& key) const {
@@ -65,7 +63,7 @@
     char* end = nullptr;
     const double number = std::strtod(value.c_str(), &end);
     if (value.empty() || *end != '\0' || !std::isfinite(number))
-      throw WireError("settings: '" + key + "' is '" + value + "', not a number");
+      throw ProfileError("settings: '" + key + "' is '" + value + "', not a number");
     return number;
   }
   Pairs pairs_;
@@ -75,7 +73,8 @@
 Value choice(const Reader& from, const std::string& key, const std::map<std::string, Value>& choices) {
   const std::string word = from.word(key);
   const auto it = choices.find(word);
-  if (it == choices.end()) throw WireError("settings: '" + key + "' is '" + word + "', which is not known");
+  if (it == choices.end())
+    throw ProfileError("settings: '" + key + "' is '" + word + "', which is not known");
   return it->second;
 }
 
@@ -113,7 +112,7 @@
     } else if (roles[i] == "both") {
       kind.role = Role::mixed;
     } else {
-      throw WireError("settings: 'familyInfo.dutyByKind' has '" + roles[i] + "', which is not known");
+      throw ProfileError("settings: 'familyInfo.dutyByKind' has '" + roles[i] + "', which is not known");
     }
     kind.memory_tokens = at(memory, i);
     to.kinds.push_back(kind);
@@ -123,6 +122,7 @@
 void decode_report(const Reader& from, Profile& to) {
   const std::vector<std::string> columns = items(from.find("stats.columns").value_or(""));
   const bool x0_is_memory = from.find("familyInfo.reportX0") == "share_of_memory_that_is_held";
+  to.columns = columns;
   for (std::size_t i = 0; i < columns.size(); ++i) {
     if (columns[i] == "concurrent") to.sequences_column = static_cast<int>(i);
     if (columns[i] == "x0" && x0_is_memory) to.memory_column = static_cast<int>(i);
@@ -139,11 +139,20 @@
   Profile to;
   Deployment& d = to.deployment;
   decode_types(from, d);
+  for (std::size_t i = 0; i < d.types.size(); ++i)
+    to.types.push_back(from.find("services." + std::to_string(i) + ".name").value_or(std::to_string(i)));
   decode_kinds(from, d);
   decode_report(from, to);
   const auto tenants = static_cast<std::size_t>(from.number_or_zero("tenants.count"));
-  for (std::size_t i = 0; i < tenants; ++i)
+  for (std::size_t i = 0; i < tenants; ++i) {
     d.tenant_rates.push_back(from.number("tenants." + std::to_string(i) + ".allowancePerS"));
+    to.tenants.push_back(from.find("tenants." + std::to_string(i) + ".name").value_or(std::to_string(i)));
+  }
+  to.kinds = items(from.find("models").value_or(""));
+  to.zones = items(from.find("azs").value_or(""));
+  to.dial_timeout = nanos(from.number_or_zero("caps.dialTimeoutMs"));
+  to.idle_close = nanos(from.number_or_zero("caps.connIdleMs"));
+  to.drain_grace = nanos(from.number_or_zero("obligations.stopSendingWithinMs"));
   d.routers = static_cast<int>(from.number("instances"));
   d.zone = static_cast<int>(from.number_or_zero("locality"));
   d.tick = nanos(from.number("granularityMs"));
@@ -163,4 +172,4 @@
   return to;
 }
 
-}  // namespace cressrill::simhost
+}  // namespace cressrill::profile
--- a/programs/router.cpp
+++ b/programs/router.cpp
@@ -1,7 +1,9 @@
-// cressrill-router: serves, or checks its file.
+// cressrill-router: serves, or checks its file. With --platform it serves by the file that EDGE_CONFIG names.
+#include <cstdlib>
 #include <fstream>
 #include <iterator>
 
+#include "platform/node.h"
 #include "serve.h"
 
 using namespace cressrill;
@@ -11,9 +13,31 @@
                "cressrill-router"};
   std::string file;
   bool check = false;
-  app.add_option("--config", file, "the router's TOML file")->required();
+  auto* config = app.add_option("--config", file, "the router's TOML file");
+  bool platform = false;
+  std::string log_level = "warn";
+  auto* on_platform = app.add_flag("--platform", platform,
+                                   "speak the platform's protocol, by the file that EDGE_CONFIG names");
+  on_platform->excludes(config);
+  app.add_option("--log-level", log_level, "of --platform: trace, debug, info, warn, error, off")
+      ->needs(on_platform);
   app.add_flag("--check", check, "only read the file and print what is wrong with it");
   if (const auto code = read_command_line(app, argc, argv)) return *code;
+  if (platform) {
+    const char* path = std::getenv("EDGE_CONFIG");
+    if (path == nullptr || *path == '\0') {
+      std::cerr << "cressrill-router: EDGE_CONFIG names no file\n";
+      return kUsage;
+    }
+    return guarded("cressrill-router", [&] {
+      cressrill::platform::run_node(path, log_level);
+      return kFine;
+    });
+  }
+  if (config->empty()) {
+    std::cerr << "cressrill-router: --config or --platform is needed\n";
+    return kUsage;
+  }
   core::FileFaults faults;
   const std::optional<core::Station> station = core::read_station(file, faults);
   if (print_faults(faults)) return kUsage;
--- a/router/fleet.cpp
+++ b/router/fleet.cpp
@@ -71,6 +71,13 @@
   policy.list_ends();
 }
 
+std::vector<int> Fleet::ready() const {
+  std::vector<int> out;
+  for (std::size_t i = 0; i < links_.size(); ++i)
+    if (links_[i] && links_[i]->not_ready_since == 0) out.push_back(static_cast<int>(i));
+  return out;
+}
+
 core::WorkerList Fleet::whole() const {
   core::WorkerList out{version_, true, {}};
   for (const auto& link : links_)
--- a/router/fleet.h
+++ b/router/fleet.h
@@ -30,6 +30,11 @@
   // Takes a list and tells the decisions. Entries that cannot be used are logged and left out.
   void take(const core::WorkerList& list, Policy& policy);
   Link& at(int worker) { return *links_[static_cast<std::size_t>(worker)]; }
+  const Link& at(int worker) const { return *links_[static_cast<std::size_t>(worker)]; }
+  // Null where that worker is forgotten.
+  const Link* find(int worker) const { return links_[static_cast<std::size_t>(worker)].get(); }
+  // Those that are listed as ready.
+  std::vector<int> ready() const;
   const std::vector<std::unique_ptr<Link>>& links() const { return links_; }
   Role role(int worker) const;
   // The whole list as it is now known.
--- a/router/host.h
+++ b/router/host.h
@@ -9,26 +9,20 @@
 #include <vector>
 
 #include "core/counters.h"
-#include "core/judge.h"
 #include "core/log.h"
-#include "engine_wire.h"
 #include "fleet.h"
 #include "http/server.h"
-#include "policy.h"
+#include "protocol.h"
 
 namespace cressrill::router {
 
 using MakePolicy =
     std::function<std::unique_ptr<Policy>(const Deployment&, std::uint64_t seed, Nanos now, Actions&)>;
 
-// How a sequence ended for its client.
-enum class Final { none, generated, rejected, aborted, broken, engine_refused };
-const char* word(Final final);
-
 class Host final : private Actions {
  public:
   Host(io::Loop& loop, const core::Station& station, core::Log& log, core::Counters& counters,
-       std::uint64_t seed, const MakePolicy& make);
+       Protocol& protocol, std::uint64_t seed, const MakePolicy& make);
   ~Host() override;
 
   // One request of a client, from its reading to its last byte.
@@ -37,7 +31,6 @@
   void list_failed();
   const Fleet& fleet() const { return fleet_; }
   std::size_t live() const { return live_; }
-  std::string models() const;
 
  private:
   // State of one schedule attempt.
@@ -50,7 +43,7 @@
     bool begun{};        // its stream flows
     bool holds_state{};  // a read whose state waits at the reader
     int takes{-1};       // a write: the read whose state it fetches
-    std::string state;   // of a read: kv_transfer_params, as its reader named them
+    std::string state;   // of a read, as its answer named it
     io::Nanos sent{};
     io::Nanos deadline{};
     io::Nanos heard{};  // last bytes of its stream
@@ -58,27 +51,23 @@
   };
   // State of one sequence.
   struct Ask {
-    Ask(io::Loop& loop, core::Facts f, core::Judged j)
-        : facts(std::move(f)), judged(j), news(loop), drained(loop) {}
+    Ask(io::Loop& loop, Brief b, std::unique_ptr<Talk> t)
+        : brief(std::move(b)), talk(std::move(t)), news(loop), drained(loop) {}
     int seq{};
-    std::string id;
-    std::string engine_fields;  // header lines that every attempt carries
-    core::Facts facts;
-    core::Judged judged;
+    Brief brief;
+    std::unique_ptr<Talk> talk;
     io::Nanos came{};
     io::Nanos abandon_at{};
     io::Signal news;      // for the client's coroutine
     io::Signal drained;   // for the attempt that fills outbox
     std::string outbox;   // events that wait for the client,
     std::string sending;  // and those that are on their way to it
-    Whole whole;
     Final final{Final::none};
     bool client_left{};
     Nanos retry_after{};
-    int engine_status{};
-    std::string engine_body;
-    int bound{-1};      // the attempt whose stream the client gets
-    int state_run{-1};  // the latest read that left a state
+    bool engine_refused{};  // with an answer that is the client's
+    int bound{-1};          // the attempt whose stream the client gets
+    int state_run{-1};      // the latest read that left a state
     std::vector<std::unique_ptr<Run>> runs;
   };
   struct Input {
@@ -105,7 +94,7 @@
   io::Task<> pump();
   void tell(Input& input);
   void tell_ended(Ask& ask, const Input& input);
-  std::shared_ptr<Ask> take(core::Facts facts, const core::Judged& judged, const http::Head& head);
+  std::shared_ptr<Ask> take(Brief brief, std::unique_ptr<Talk> talk);
   io::Task<> converse(Ask& ask, http::Answer& answer, std::shared_ptr<Ask> self);
   io::Task<> conclude(Ask& ask, http::Answer& answer, bool begun);
   void settle(Ask& ask, Final final);
@@ -113,23 +102,25 @@
 
   void end(Ask& ask, int k, Outcome outcome, double kept = 0, const Report& report = {});
   io::Task<> attempt(std::shared_ptr<Ask> ask, int k);
+  Try described(const Ask& ask, int k) const;
   io::Task<io::Moved> send_to(Ask& ask, int k, http::Connection& connection);
   io::Task<> out_of_time(std::shared_ptr<Ask> ask, int k);
-  void read_answered(Ask& ask, int k, int status, const std::string& body, const Report& report);
+  void answered(Ask& ask, int k, const http::Head& head, std::string body, const Report& report);
   io::Task<bool> stream(Ask& ask, int k, http::Connection& connection, const Report& report);
   void release(Ask& ask, int k);
+  io::Task<> release_all(std::shared_ptr<Ask> ask);
   io::Task<> release_at(std::shared_ptr<http::Pool> pool, std::string text);
 
   io::Loop& loop_;
   const core::Station& station_;
   core::Log& log_;
   core::Counters& counters_;
-  core::TokenEstimate estimate_;
+  Protocol& protocol_;
+  const Protocol::Manner manner_;
   Fleet fleet_;
   std::vector<std::shared_ptr<Ask>> asks_;  // by small index
   std::vector<int> free_;
   std::size_t live_{};
-  std::uint64_t serial_{};
   std::vector<Input> inbox_;
   std::vector<Input> telling_;  // taken from the inbox; its room goes back there
   io::Signal posted_;
--- a/router/instance.cpp
+++ b/router/instance.cpp
@@ -5,7 +5,8 @@
 Instance::Instance(io::Loop& loop, const core::Station& station, core::Log& log, std::uint64_t seed,
                    const MakePolicy& make)
     : station_(station),
-      host_(loop, station, log, counters_, seed, make),
+      protocol_(station),
+      host_(loop, station, log, counters_, protocol_, seed, make),
       roster_(loop, station, log, host_),
       server_(
           loop, *io::parse_address(station.listen),
--- a/router/instance.h
+++ b/router/instance.h
@@ -1,6 +1,7 @@
 // One running router: its ports, its host, its view of the roster.
 #pragma once
 
+#include "openai.h"
 #include "roster_client.h"
 
 namespace cressrill::router {
@@ -21,6 +22,7 @@
   io::Task<> admin(http::Request& request, http::Answer& answer);
   const core::Station& station_;
   core::Counters counters_;
+  OpenAi protocol_;
   Host host_;
   RosterClient roster_;
   http::Server server_;
--- a/simhost/host.cpp
+++ b/simhost/host.cpp
@@ -3,10 +3,15 @@
 #include <unordered_map>
 
 #include "policy.h"
-#include "profile.h"
+#include "profile/profile.h"
 
 namespace cressrill::simhost {
 
+using profile::decode_profile;
+using profile::millis;
+using profile::nanos;
+using profile::Profile;
+
 namespace {
 
 constexpr std::size_t kEventSize = 64;
--- a/tests/simhost_test.cpp
+++ b/tests/simhost_test.cpp
@@ -5,10 +5,12 @@
 #include <sstream>
 
 #include "host.h"
-#include "profile.h"
+#include "profile/profile.h"
 
 namespace cressrill::simhost {
 
+using profile::decode_profile;
+
 using Frame = std::vector<unsigned char>;
 
 static void put(Frame& to, std::uint64_t value, int width) {
