--- a/core/station.h
+++ b/core/station.h
@@ -39,9 +39,10 @@
   std::size_t connections{};
   int default_max_out{};  // tokens, where a request names none
   Nanos dial_timeout{};
-  Nanos idle_for{};                  // engine connections are kept so long
-  std::size_t engine_connections{};  // to one engine
-  Nanos stall{};                     // a stream that stands still so long has broken
+  Nanos idle_for{};                      // engine connections are kept so long
+  std::size_t engine_connections{};      // to one engine
+  std::size_t all_engine_connections{};  // to all of them; 0: no bound
+  Nanos stall{};                         // a stream that stands still so long has broken
   Nanos drain_grace{};
   Nanos stop_within{};  // for what is in hand at SIGTERM
   std::vector<std::string> zones;
--- a/http/client.cpp
+++ b/http/client.cpp
@@ -1,12 +1,46 @@
 #include "client.h"
 
+#include <cerrno>
+
 namespace cressrill::http {
 
-io::Task<std::unique_ptr<Connection>> Pool::take() {
+bool Room::make() {
+  if (open_ < most_) return true;
+  Pool* oldest = nullptr;
+  for (Pool* p : pools_)
+    if (!p->kept_.empty() && (oldest == nullptr || p->kept_.front().since < oldest->kept_.front().since))
+      oldest = p;
+  if (oldest == nullptr) return false;
+  oldest->kept_.pop_front();
+  oldest->dropped();
+  return true;
+}
+
+Pool::~Pool() {
+  if (!bounds_.room) return;
+  std::erase(bounds_.room->pools_, this);
+  bounds_.room->open_ -= open_;
+}
+
+void Pool::dropped() {
+  --open_;
+  if (bounds_.room) --bounds_.room->open_;
+  returned_.notify();
+}
+
+void Pool::drop_kept() {
+  while (!kept_.empty()) {
+    kept_.pop_front();
+    dropped();
+  }
+}
+
+io::Task<std::unique_ptr<Connection>> Pool::take(bool& crowded) {
   const io::Nanos until = loop_.now() + bounds_.dial_timeout;
   for (;;) {
     while (!kept_.empty()) {
       auto connection = std::move(kept_.back().connection);
+      connection->stood = loop_.now() - kept_.back().since;
       kept_.pop_back();
       // The peer may have closed it meanwhile: seen here, nothing was sent and nothing can have run.
       if (!connection->socket.spoiled()) {
@@ -29,10 +63,16 @@
       if (pool != nullptr) pool->dropped();
     }
   };
+  if (bounds_.room && !bounds_.room->make()) {
+    crowded = true;
+    co_return nullptr;
+  }
   ++open_, ++dialled_;
+  if (bounds_.room) ++bounds_.room->open_;
   Counted counted{this};
   auto connection = std::make_unique<Connection>();
   const auto moved = co_await io::within(loop_, until, io::connect(loop_, peer_, connection->socket));
+  crowded = moved && (moved->error == EMFILE || moved->error == ENFILE);
   if (!moved || !moved->ok()) co_return nullptr;
   counted.pool = nullptr;
   connection->reader = std::make_unique<Reader>(connection->socket, Kind::response);
--- a/http/client.h
+++ b/http/client.h
@@ -12,31 +12,57 @@
   io::Socket socket;
   std::unique_ptr<Reader> reader;
   bool used_before{};
+  io::Nanos stood{};  // how long it was kept unused before this use
+};
+
+class Pool;
+
+// A bound on the connections of many pools together. Kept ones make way for new ones, the oldest first.
+class Room {
+ public:
+  explicit Room(std::size_t most) : most_(most) {}
+  std::size_t open() const { return open_; }
+
+ private:
+  friend class Pool;
+  // Whether another may be opened.
+  bool make();
+  std::size_t most_;
+  std::size_t open_{};
+  std::vector<Pool*> pools_;
 };
 
 struct PoolBounds {
   io::Nanos dial_timeout = 250 * io::kMs;
   io::Nanos idle_for = 15 * io::kSecond;  // a kept connection is closed after so long
   std::size_t kept = 64;
-  std::size_t open = 1024;  // past this a request waits for one that is given back
+  std::size_t open = 1024;       // past this a request waits for one that is given back
+  std::shared_ptr<Room> room{};  // shared with other pools; none: no such bound
 };
 
 class Pool {
  public:
   Pool(io::Loop& loop, io::Address peer, PoolBounds bounds = {})
-      : loop_(loop), peer_(peer), bounds_(bounds), returned_(loop), sweeper_(loop) {}
+      : loop_(loop), peer_(peer), bounds_(std::move(bounds)), returned_(loop), sweeper_(loop) {
+    if (bounds_.room) bounds_.room->pools_.push_back(this);
+  }
+  ~Pool();
 
-  // A connection that is open as far as can be told, or none: it could not be made in time.
-  io::Task<std::unique_ptr<Connection>> take();
+  // A connection that is open as far as can be told, or none: it could not be made in time or, where crowded is set,
+  // there was no room for it on this side.
+  io::Task<std::unique_ptr<Connection>> take(bool& crowded);
   // A connection whose last response was read to its end. Others are dropped instead.
   void give_back(std::unique_ptr<Connection> connection);
-  void dropped() { --open_, returned_.notify(); }
+  void dropped();
+  // Closes what is kept and not in use.
+  void drop_kept();
   io::Address peer() const { return peer_; }
   std::size_t open() const { return open_; }
   std::size_t kept() const { return kept_.size(); }
   std::size_t dialled() const { return dialled_; }
 
  private:
+  friend class Room;
   struct Kept {
     std::unique_ptr<Connection> connection;
     io::Nanos since;
@@ -61,9 +87,11 @@
   Lease(const Lease&) = delete;
   Lease& operator=(const Lease&) = delete;
   io::Task<bool> take() {
-    connection_ = co_await pool_->take();
+    connection_ = co_await pool_->take(crowded_);
     co_return connection_ != nullptr;
   }
+  // Why none was taken: no room on this side, and no fault of the peer.
+  bool crowded() const { return crowded_; }
   Connection& operator*() { return *connection_; }
   Connection* operator->() { return connection_.get(); }
   void keep() {
@@ -78,6 +106,7 @@
  private:
   std::shared_ptr<Pool> pool_;
   std::unique_ptr<Connection> connection_;
+  bool crowded_{};
 };
 
 // One whole exchange. What became of it: sent tells whether any byte left, so that it may have been acted on.
--- a/io/socket.cpp
+++ b/io/socket.cpp
@@ -11,6 +11,7 @@
 #include <cerrno>
 #include <charconv>
 #include <system_error>
+#include <utility>
 
 namespace cressrill::io {
 
@@ -115,7 +116,8 @@
       co_await Ready(state_->watch, Side::read);
       continue;
     }
-    state_->watch.unread = false;
+    // What was seen and left may be more than one read takes, and no further word of it comes.
+    if (std::exchange(state_->watch.unread, false)) state_->watch.readable = true;
     state_->loop.called(Call::recv);
     const ssize_t n = ::recv(state_->fd, to.data(), to.size(), 0);
     if (n >= 0) {
--- a/router/fleet.cpp
+++ b/router/fleet.cpp
@@ -15,7 +15,10 @@
 }  // namespace
 
 Fleet::Fleet(io::Loop& loop, const core::Station& station, core::Log& log)
-    : loop_(loop), station_(station), log_(log) {}
+    : loop_(loop), station_(station), log_(log) {
+  if (station.all_engine_connections > 0)
+    room_ = std::make_shared<http::Room>(station.all_engine_connections);
+}
 
 Role Fleet::role(int worker) const {
   const Link& l = *links_[static_cast<std::size_t>(worker)];
@@ -30,17 +33,25 @@
     log_.error("list entry refused", {{"worker", listed.name}, {"not_known", wrong}});
     return nullptr;
   }
-  const auto [it, fresh] = index_.try_emplace(listed.name, static_cast<int>(links_.size()));
+  const auto [it, fresh] = index_.try_emplace(listed.name, -1);
+  if (fresh) {
+    if (free_.empty()) {
+      free_.push_back(static_cast<int>(links_.size()));
+      links_.emplace_back();
+    }
+    it->second = free_.back();
+    free_.pop_back();
+    links_[static_cast<std::size_t>(it->second)] = std::make_unique<Link>();
+  }
   index = it->second;
   if (fresh) {
-    links_.push_back(std::make_unique<Link>());
     at(index).identity = XXH3_64bits(listed.name.data(), listed.name.size());
   }
   Link& link = at(index);
   if (!link.pool || link.pool->peer() != *address) {
     link.pool = std::make_shared<http::Pool>(
         loop_, *address,
-        http::PoolBounds{station_.dial_timeout, station_.idle_for, 256, station_.engine_connections});
+        http::PoolBounds{station_.dial_timeout, station_.idle_for, 256, station_.engine_connections, room_});
   }
   link.kind = kind, link.zone = zone;
   link.cell = cells_.try_emplace(listed.cell, static_cast<int>(cells_.size())).first->second;
@@ -57,20 +68,30 @@
   policy.list_begins(loop_.now(), list.complete);
   if (list.complete)
     for (auto& link : links_)
-      if (link->not_ready_since == 0) {
+      if (link && link->not_ready_since == 0) {
         link->listed.standing = Standing::gone;
         link->not_ready_since = loop_.now();
       }
   for (const core::ListedWorker& w : list.workers) {
     int index = -1;
+    if (w.standing == Standing::gone && !index_.contains(w.name)) continue;  // never told of, or forgotten
     const Link* link = entry(w, index);
     if (link == nullptr) continue;
     const Nanos started = w.started == 0 ? 0 : std::max<Nanos>(1, w.started - loop_.wall_at_zero());
     policy.worker_listed(index, link->identity, w.standing, started, link->kind, link->zone, link->cell);
   }
+  for (auto& link : links_)
+    if (link && link->listed.standing == Standing::gone) link->pool->drop_kept();
   policy.list_ends();
 }
 
+void Fleet::forget(int worker) {
+  auto& link = links_[static_cast<std::size_t>(worker)];
+  index_.erase(link->listed.name);
+  link.reset();
+  free_.push_back(worker);
+}
+
 std::vector<int> Fleet::ready() const {
   std::vector<int> out;
   for (std::size_t i = 0; i < links_.size(); ++i)
@@ -81,7 +102,7 @@
 core::WorkerList Fleet::whole() const {
   core::WorkerList out{version_, true, {}};
   for (const auto& link : links_)
-    if (link->listed.standing != Standing::gone) out.workers.push_back(link->listed);
+    if (link && link->listed.standing != Standing::gone) out.workers.push_back(link->listed);
   return out;
 }
 
--- a/router/fleet.h
+++ b/router/fleet.h
@@ -33,8 +33,11 @@
   const Link& at(int worker) const { return *links_[static_cast<std::size_t>(worker)]; }
   // Null where that worker is forgotten.
   const Link* find(int worker) const { return links_[static_cast<std::size_t>(worker)].get(); }
+  // That worker is gone for good; its index is used again.
+  void forget(int worker);
   // Those that are listed as ready.
   std::vector<int> ready() const;
+  // Null where a worker was forgotten.
   const std::vector<std::unique_ptr<Link>>& links() const { return links_; }
   Role role(int worker) const;
   // The whole list as it is now known.
@@ -46,7 +49,9 @@
   const core::Station& station_;
   core::Log& log_;
   std::uint64_t version_{};
+  std::shared_ptr<http::Room> room_;  // for the connections to all workers
   std::vector<std::unique_ptr<Link>> links_;
+  std::vector<int> free_;  // indices of workers that were forgotten
   std::unordered_map<std::string, int> index_;
   std::unordered_map<std::string, int> cells_;
 };
--- a/router/host.cpp
+++ b/router/host.cpp
@@ -135,7 +135,10 @@
                                {"stage", run.reads ? "read" : "write"},
                                {"outcome", word(input.outcome)},
                                {"took_ms", (loop_.now() - run.sent) / io::kMs},
-                               {"kept", input.kept}});
+                               {"connection_stood_ms", run.stood < 0 ? -1 : run.stood / io::kMs},
+                               {"kept", input.kept},
+                               {"held_there", input.report.sequences},
+                               {"memory_share", input.report.memory_share}});
   policy_->attempt_ended(loop_.now(), ask.seq, input.attempt, input.outcome, loop_.now() - run.sent,
                          ask.final != Final::none || ask.client_left, input.kept, input.report);
 }
@@ -164,7 +167,7 @@
   Ask& ask = *asks_[static_cast<std::size_t>(seq)];
   if (manner_.one_release) {
     counters_.let_go();
-    return errands_.spawn(release_all(asks_[static_cast<std::size_t>(seq)]));
+    return errands_.spawn(release_all(asks_[static_cast<std::size_t>(seq)], ask.runs.size()));
   }
   for (std::size_t k = 0; k < ask.runs.size(); ++k) {
     const bool awaited = std::ranges::any_of(
@@ -219,6 +222,20 @@
                          {"took_ms", (loop_.now() - ask.came) / io::kMs}});
 }
 
+std::vector<Host::Load> Host::loads() const {
+  std::vector<Load> out;
+  for (std::size_t w = 0; w < fleet_.links().size(); ++w) {
+    if (!fleet_.links()[w]) continue;
+    Load load{fleet_.links()[w]->listed.name, policy_->believed(static_cast<int>(w)), 0};
+    for (const auto& ask : asks_)
+      if (ask)
+        for (const auto& run : ask->runs)
+          load.out += run->worker == static_cast<int>(w) && run->out && !run->begun;
+    out.push_back(std::move(load));
+  }
+  return out;
+}
+
 // Attempts.
 
 void Host::end(Ask& ask, int k, Outcome outcome, double kept, const Report& report) {
@@ -242,7 +259,9 @@
   Link& link = fleet_.at(run.worker);
   for (;;) {
     http::Lease lease(link.pool);
-    if (!co_await lease.take()) co_return end(*ask, k, Outcome::connect_failed);
+    if (!co_await lease.take())
+      co_return end(*ask, k, lease.crowded() ? Outcome::not_sent : Outcome::connect_failed);
+    run.stood = lease->used_before ? lease->stood : -1;
     // Rule 3, for a drain that was told after the decision, while the connection was being made.
     if (link.not_ready_since > run.sent && loop_.now() - link.not_ready_since > station_.drain_grace / 2)
       co_return end(*ask, k, Outcome::not_sent);
@@ -370,8 +389,7 @@
 
 // Tells one worker after another, the last reader first, until one has heard it. Once another attempt is out it is
 // left to the next release: a late one could take the state of a newer read.
-io::Task<> Host::release_all(std::shared_ptr<Ask> ask) {
-  const std::size_t attempts = ask->runs.size();
+io::Task<> Host::release_all(std::shared_ptr<Ask> ask, std::size_t attempts) {
   std::vector<int> order;
   for (std::size_t k = ask->runs.size(); k-- > 0;)
     if (ask->runs[k]->reads) order.push_back(ask->runs[k]->worker);
--- a/router/host.h
+++ b/router/host.h
@@ -31,6 +31,14 @@
   void list_failed();
   const Fleet& fleet() const { return fleet_; }
   std::size_t live() const { return live_; }
+  // For each worker, what the decisions believe to be out there beside what is out on sockets. The two are the same
+  // whenever no input waits to be told.
+  struct Load {
+    std::string worker;
+    Belief believed;
+    int out{};  // attempts whose answer has not begun
+  };
+  std::vector<Load> loads() const;
 
  private:
   // State of one schedule attempt.
@@ -46,7 +54,8 @@
     std::string state;   // of a read, as its answer named it
     io::Nanos sent{};
     io::Nanos deadline{};
-    io::Nanos heard{};  // last bytes of its stream
+    io::Nanos stood{-1};  // how long its connection had been kept unused; negative: a new one
+    io::Nanos heard{};    // last bytes of its stream
     io::Scope scope;
   };
   // State of one sequence.
@@ -88,7 +97,7 @@
   void subscribe() override {}  // the roster pushes to all that watch it
   void wake(Nanos after) override;
   void forget_sequence(int seq) override;
-  void forget_worker(int) override {}  // indices of workers stay with their names
+  void forget_worker(int worker) override { fleet_.forget(worker); }
 
   void put(Input input);
   io::Task<> pump();
@@ -108,7 +117,7 @@
   void answered(Ask& ask, int k, const http::Head& head, std::string body, const Report& report);
   io::Task<bool> stream(Ask& ask, int k, http::Connection& connection, const Report& report);
   void release(Ask& ask, int k);
-  io::Task<> release_all(std::shared_ptr<Ask> ask);
+  io::Task<> release_all(std::shared_ptr<Ask> ask, std::size_t attempts);
   io::Task<> release_at(std::shared_ptr<http::Pool> pool, std::string text);
 
   io::Loop& loop_;
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -77,7 +77,7 @@
       s_.workers.resize(static_cast<std::size_t>(worker) + 1);
     Worker& w = at(worker);
     if (!w.known) {
-      w = {.known = true, .identity = identity, .started = started};
+      w = {.known = true, .identity = identity, .started = started, .void_before = now_};
       w.cold_since = started > 0 ? started : kNever;
     } else if (started > w.started) {  // restarted: empty, cold, and whatever ailed it is gone
       w.started = w.void_before = started;
@@ -92,7 +92,9 @@
   void list_ends() override {
     s_.census = {};
     for (int i = 0; i < static_cast<int>(s_.workers.size()); ++i) {
-      const Worker& w = at(i);
+      Worker& w = at(i);
+      if (w.standing != Standing::gone) w.gone_since = 0;
+      if (w.known && w.standing == Standing::gone) forget_gone(i);
       if (!listed(w)) continue;
       const std::size_t reads = w.role == Role::reader;
       s_.census.ready[reads].push_back(i);
@@ -167,9 +169,9 @@
     // What was late would have taken so long at least: unlearned, time-outs stay too short in a jam.
     if (outcome == Outcome::timed_out) smooth(a.reads ? s_.read_wait : s_.first_wait, seconds(took));
     if (outcome == Outcome::timed_out && a.reads) learn(w, a.ahead + a.tokens, seconds(took));
-    if (!a.reads && (outcome == Outcome::error || outcome == Outcome::timed_out ||
-                     outcome == Outcome::connection_lost || outcome == Outcome::cancelled))
-      q.maybe_ran = true;
+    if (outcome == Outcome::error || outcome == Outcome::timed_out || outcome == Outcome::connection_lost ||
+        outcome == Outcome::cancelled)
+      (a.reads ? a.stray : q.maybe_ran) = true;
     if (outcome == Outcome::timed_out && !silent) cut_limit();
     if (closed) finish(q);
     if (q.stage != Stage::over && !a.given_up) go_back(q, a, outcome);
@@ -181,6 +183,7 @@
     now_ = now;
     run();
   }
+  Belief believed(int worker) const override { return {at(worker).pending, at(worker).states}; }
 
  private:
   template <class Subject>
@@ -228,8 +231,8 @@
       return !(w.watched = w.pending > 0 || w.strikes >= kStrikesOut);
     });
     if (d_.asks_for_list && now_ - s_.list_asked > d_.must_ask_in / 2) s_.list_asked = now_, out_.subscribe();
-    // No rule's matter, and thousands wait so: streams with no other attempt out, until something happens there;
-    // those in line, until their time comes or, one at a time, their turn.
+    // No rule's matter, and thousands wait so: streams with no other attempt out, until something happens
+    // there; those in line, until their time comes or, one at a time, their turn.
     s_.parked += std::erase_if(s_.live, [&](int id) {
       Sequence& q = sequence(id);
       const bool waits = q.stage == Stage::waiting;
@@ -281,6 +284,19 @@
     unparked(*std::ranges::min_element(s_.queue, first));
   }
 
+  // Guards against memory that grows with workers that come under new ids: one that is gone for as long as a
+  // holder entry lasts is forgotten. Harms one that comes back after that under its id: it counts as new.
+  void forget_gone(int worker) {
+    Worker& w = at(worker);
+    if (w.gone_since == 0) w.gone_since = now_;
+    if (now_ - w.gone_since < kKeptFor || w.watched) return;
+    for (const Sequence& q : s_.sequences)
+      for (const Attempt& a : q.attempts)
+        if (a.worker == worker && (a.out || q.stage != Stage::over)) return;
+    w = {};
+    out_.forget_worker(worker);
+  }
+
   // Workers: what ails them.
 
   // Guards against machines that vanish or hang and against cut links: attempts are overdue, and nothing was
@@ -393,9 +409,9 @@
     out_.forget_sequence(q.id);
   }
 
-  // Rule 5: the state of a read that was left may have come after all.
+  // Rule 5: the state of a read that was left, or whose answer was lost on its way, may have come after all.
   void drop_strays(Sequence& q) {
-    if (std::ranges::any_of(q.attempts, &Attempt::given_up)) out_.let_go(q.id);
+    if (std::ranges::any_of(q.attempts, [](auto& a) { return a.given_up || a.stray; })) out_.let_go(q.id);
   }
 
   // Rule 1: the last moment at which an answer is surely in time.
--- a/src/policy.h
+++ b/src/policy.h
@@ -24,9 +24,16 @@
   virtual void forget_worker(int worker) = 0;
 };
 
+// What is believed to be out and held at a worker, for a check against what is so.
+struct Belief {
+  int pending{};  // attempts out, neither read nor begun to stream
+  int states{};   // that wait there
+};
+
 class Policy {
  public:
   virtual ~Policy() = default;
+  virtual Belief believed(int) const { return {}; }
   virtual void list_begins(Nanos now, bool complete) = 0;
   // identity: the same number at every router, with no meaning of its own.
   virtual void worker_listed(int worker, std::uint64_t identity, Standing standing, Nanos started, int kind,
--- a/src/state.h
+++ b/src/state.h
@@ -57,6 +57,7 @@
   bool begun{};     // its stream flows
   bool full{};      // turned away by a worker that was full
   bool given_up{};  // cancelled, or no longer waited for
+  bool stray{};     // a read that may have left a state without a word
   Nanos sent{};
   Nanos expected{};   // how long it should take
   double tokens{};    // work it lays on the worker
@@ -101,6 +102,7 @@
   int cell{};
   Nanos started{};      // as listed
   Nanos void_before{};  // what it kept before is not believed in
+  Nanos gone_since{};   // 0: it is listed
   Nanos cold_since{};   // start by the list or guessed from symptoms; kNever: warm
   Nanos heard{};        // last sign of life
   bool broke{};         // a connection broke since it was last heard
--- a/tests/io_test.cpp
+++ b/tests/io_test.cpp
@@ -2,6 +2,8 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
 
+#include <array>
+
 #include "http/client.h"
 #include "http/server.h"
 #include "io/timer_wheel.h"
@@ -26,6 +28,31 @@
 
 }  // namespace
 
+TEST_CASE("bytes that were seen and left are all read later, however many reads they take") {
+  io::Loop loop(io::Loop::Time::handed);
+  io::Listener listener(loop, kAnyPort);
+  io::Scope scope(loop);
+  std::size_t got = 0;
+  scope.spawn([](io::Loop& l, io::Address to) -> io::Task<> {
+    io::Socket s;
+    co_await io::connect(l, to, s);
+    co_await s.write_all(std::string(10'000, 'x'));
+    co_await l.sleep_for(5000 * kMs);
+  }(loop, listener.address()));
+  scope.spawn([](io::Loop& l, io::Listener& from, std::size_t& n) -> io::Task<> {
+    io::Socket s = co_await from.accept();
+    {
+      io::Scope watch(l);  // as while a request is in hand: does the client leave?
+      watch.spawn(s.peer_gone());
+      co_await l.sleep_for(100 * kMs);
+    }
+    std::array<char, 1000> some;
+    while (n < 10'000) n += (co_await s.read_some(some)).bytes;
+  }(loop, listener, got));
+  loop.run_until([&] { return got == 10'000 || loop.now() > 20 * io::kSecond; });
+  CHECK(got == 10'000);
+}
+
 TEST_CASE("timers run in the order of their times, those of one time as they were set; the clock jumps") {
   io::Loop loop(io::Loop::Time::handed);
   const io::Nanos start = loop.now();
--- /dev/null
+++ b/tests/platform_test.cpp
@@ -0,0 +1,581 @@
+// The platform's protocol: texts in and facts out, then the whole path on loopback with scripted workers, discovery
+// and clients, each failure brought about on handed time.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <csignal>
+
+#include "io/signals.h"
+#include "site.h"
+
+namespace cressrill::testing {
+
+namespace {
+
+std::string whole_stream(int events) {
+  std::string out;
+  for (int i = 0; i < events; ++i) out += Worker::event(i);
+  return out + Worker::ending();
+}
+std::string begun();
+Act spoilt(std::string later) { return {begun(), Act::Then::hold, 0, false, false, std::move(later)}; }
+std::string begun() { return Worker::stream_head() + Worker::framed(Worker::event(0)); }
+
+}  // namespace
+
+// What is read at start.
+
+TEST_CASE("nested settings become the lines of the simulator's first message") {
+  const json settings =
+      json::parse(R"({"a":{"b":[1.5,2.0],"c":"two words, and","d":[]},"e":[{"f":true},{"f":false}]})");
+  CHECK(platform::flattened(settings) ==
+        "a.b=1.5,2.0\na.c=two_words__and\na.d=\ne.count=2\ne.0.f=true\ne.1.f=false\n");
+}
+
+TEST_CASE("a configuration that cannot be used is told with its key") {
+  const json good = {{"name", "n0"},
+                     {"listen", "127.0.0.1:0"},
+                     {"discovery", "127.0.0.1:1"},
+                     {"seed", "8c1f"},
+                     {"limits", {{"memory_mb", 64}, {"sockets", 256}}},
+                     {"settings", small_settings()}};
+  CHECK(platform::read_placement(good.dump()).seed == 0x8c1f);
+  const auto why = [&](const std::function<void(json&)>& change) {
+    json bad = good;
+    change(bad);
+    try {
+      platform::read_placement(bad.dump());
+    } catch (const std::invalid_argument& e) {
+      return std::string(e.what());
+    }
+    return std::string("taken");
+  };
+  CHECK(why([](json& j) { j.erase("listen"); }) == "configuration: 'listen' is missing");
+  CHECK(why([](json& j) { j["discovery"] = "nowhere"; }) ==
+        "configuration: 'discovery' is 'nowhere', not an address");
+  CHECK(why([](json& j) { j["seed"] = "xyz"; }) ==
+        "configuration: 'seed' is 'xyz', not a hexadecimal number");
+  CHECK(why([](json& j) { j["limits"]["sockets"] = -1; }) == "configuration: 'limits.sockets' is -1");
+  CHECK(why([](json& j) { j["settings"].erase("instances"); }) ==
+        "configuration: settings: 'instances' is missing");
+  CHECK_THROWS_AS(platform::read_placement("{"), std::invalid_argument);
+}
+
+TEST_CASE("a list of discovery: entries that lack something are left out and counted") {
+  const auto told = platform::read_list(
+      R"({"rev":41,"all":true,"targets":[
+        {"uid":"a","endpoint":"127.0.0.1:1","az":"east","model":"prefill","pod_group":3,"state":"up","boot_ms":1500},
+        {"uid":"b","endpoint":"127.0.0.1:1","az":"east","model":"prefill","pod_group":3,"state":"odd"},
+        {"endpoint":"127.0.0.1:1","state":"up","pod_group":3}, 7]})");
+  CHECK(told.left_out == 3);
+  REQUIRE(told.list.workers.size() == 1);
+  CHECK(told.list.workers[0].started == 1500 * kMs);
+  CHECK(told.list.workers[0].cell == "3");
+  CHECK_THROWS_AS(platform::read_list("{\"rev\":1}"), std::invalid_argument);
+  CHECK_THROWS_AS(platform::read_list("[]"), std::invalid_argument);
+}
+
+// The ordinary path.
+
+TEST_CASE("read, written, streamed: the worker's events as they came, the request unchanged, nothing left") {
+  Site s(1, 1);
+  s.send("up", "GET /up HTTP/1.1\r\nHost: h\r\n\r\n");
+  CHECK(s.answer("up").status == 200);
+  s.send("a", Site::call("a1"));
+  const Got& got = s.answer("a");
+  CHECK(got.status == 200);
+  CHECK(got.whole);
+  CHECK(got.body == whole_stream(3));
+  CHECK(s.worker("reader-0").seen == std::vector<std::string>{"POST /v1/chat/completions?trace=1 a1"});
+  CHECK(s.worker("writer-0").seen == std::vector<std::string>{"POST /v1/chat/completions?trace=1 a1"});
+  CHECK(s.worker("reader-0").texts[0] == Site::prompt());
+  CHECK(s.worker("writer-0").texts[0] == Site::prompt());
+  CHECK(s.states.empty());
+  CHECK(s.node->host().live() == 0);
+  CHECK(s.node->codec().open() == 0);
+}
+
+TEST_CASE("loads are read from heads and from comments; one that cannot be read is none") {
+  Site s(0, 0);
+  const auto& codec = s.node->codec();
+  CHECK(codec.load(" X-Load-Report: concurrent=7,x0=0.61").sequences == 7);
+  CHECK(codec.load("x-load-report: concurrent=7,x0=0.61").memory_share == doctest::Approx(0.61));
+  for (const char* odd :
+       {" X-Load-Report: concurrent=seven", " X-Load-Report: concurrent", " X-Load-Report: x0=-1",
+        " X-Load-Report: x0=nan", " X-Other: x0=1", "", " X-Load-Report:"})
+    CHECK_FALSE(codec.load(odd).heard);
+}
+
+// What comes back from a worker.
+
+TEST_CASE("each outcome of an attempt leads to one answer, and nothing runs beside another") {
+  struct Case {
+    const char* what;
+    bool at_reader;
+    Act act;
+  };
+  const auto answer = [](int status, const char* fields) {
+    return http::response_text(status, fields, "", true);
+  };
+  using Then = Act::Then;
+  const Case cases[] = {
+      {"a reader errs", true, {answer(500, "")}},
+      {"a reader is full", true, {answer(503, "X-Rejected: 1\r\n")}},
+      {"a reader says that it is over", true, {answer(504, "X-Rejected: 1\r\n")}},
+      {"a reader breaks", true, {"", Then::reset}},
+      {"a reader ends", true, {"", Then::close}},
+      {"a reader ends in its head", true, {"HTTP/1.1 202 Acc", Then::close}},
+      {"a reader answers nonsense", true, {"\x01\x02 nonsense\r\n\r\n", Then::hold}},
+      {"a reader is silent", true, {"", Then::hold}},
+      {"a writer errs", false, {answer(500, "")}},
+      {"a writer is full", false, {answer(503, "X-Rejected: 1\r\n")}},
+      {"a writer has no state", false, {answer(410, "X-Rejected: 1\r\n")}},
+      {"a writer breaks", false, {"", Then::reset}},
+      {"a writer is silent", false, {"", Then::hold}},
+      {"noise in place of a stream", false, {std::string(300, '\x07'), Then::hold}},
+      {"a head that cannot be read", false, {"HTTP/1.1 200 OK\r\nno colon here\r\n\r\n", Then::hold}},
+      {"a head that does not end", false, {"HTTP/1.1 200 OK\r\nx: " + std::string(200'000, 'y'), Then::hold}},
+      {"a first chunk that cannot be read", false, {Worker::stream_head() + "zz\r\n", Then::hold}},
+      {"a first event that is no event",
+       false,
+       {Worker::stream_head() + Worker::framed("data: {\"choices\":\n\n"), Then::hold}},
+      {"a stream that ends before its first event", false, {Worker::stream_head() + "0\r\n\r\n"}},
+  };
+  for (const Case& c : cases) {
+    CAPTURE(std::string(c.what));
+    Site s(2, 2);
+    for (auto& w : s.workers)
+      if (w->reads == c.at_reader) w->acts = {c.act};
+    s.send("a", Site::call("a1"));
+    // Whichever was chosen does it, and no other.
+    const auto waits = [&](const auto& w) { return w->reads == c.at_reader && !w->acts.empty(); };
+    s.loop.run_until([&] { return std::ranges::count_if(s.workers, waits) == 1; });
+    for (auto& w : s.workers) w->acts.clear();
+    const Got& got = s.answer("a");
+    CHECK(got.status == 200);
+    CHECK(got.body == whole_stream(3));
+    s.pass(3000);
+    CHECK(s.states.empty());
+    CHECK(s.node->host().live() == 0);
+    for (auto& w : s.workers) CHECK(w->open == 0);
+  }
+}
+
+TEST_CASE(
+    "a stream that is spoilt later ends the client's connection, without the last chunk or a word of ours") {
+  const std::pair<const char*, Act> cases[] = {
+      {"a chunk size that cannot be read", spoilt("zz\r\nmore")},
+      {"a chunk that does not fit", spoilt("5\r\nmore than five\r\n")},
+      {"a chunk of 3 GB", spoilt("C0000000\r\n" + std::string(300'000, 'x'))},
+      {"broken", {begun(), Act::Then::reset}},
+      {"ended", {begun(), Act::Then::close}},
+      {"silent", {begun(), Act::Then::hold}},
+  };
+  for (const auto& [what, act] : cases) {
+    CAPTURE(std::string(what));
+    Site s(1, 1);
+    s.worker("writer-0").acts = {act};
+    s.send("a", Site::call("a1"));
+    const Got& got = s.answer("a");
+    CHECK(got.status == 200);
+    CHECK_FALSE(got.whole);
+    CHECK(got.body.starts_with(Worker::event(0)));
+    CHECK(got.body.find("error") == std::string::npos);
+    CHECK(got.took < 5000 * kMs);
+    CHECK(s.lines("POST") == 2);
+    s.pass(100);
+    CHECK(s.node->host().live() == 0);
+  }
+}
+
+TEST_CASE("good answers with more than belongs to them: 1xx ahead, a second answer behind") {
+  Site s(1, 1);
+  const std::string stream = Worker::stream_head() + Worker::framed(whole_stream(2)) + "0\r\n\r\n";
+  s.worker("writer-0").acts = {
+      {"HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n" + stream},
+      {stream + "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nno", Act::Then::hold},
+  };
+  for (const char* id : {"a", "b", "c"}) {
+    s.send(id, Site::call(id));
+    const Got& got = s.answer(id);
+    CHECK(got.whole);
+    CHECK(got.body == whole_stream(id[0] == 'c' ? 3 : 2));
+    CHECK(got.last < s.loop.now());
+  }
+  CHECK(s.worker("writer-0").connections == 2);  // the one with more on it was not used again
+}
+
+TEST_CASE("a kept connection that its worker has closed is made anew and counts as no attempt") {
+  Site s(1, 1);
+  for (int i = 0; i < 3; ++i) {
+    s.worker("writer-0").acts = {{"", Act::Then::keep, 0, true}};
+    const std::string id = "a" + std::to_string(i);
+    s.send(id, Site::call(id));
+    CHECK(s.answer(id).whole);
+    s.pass(5000);  // past half of what the settings allow a connection to stand idle
+  }
+  CHECK(s.worker("writer-0").connections == 3);
+  CHECK(s.lines("POST") == 6);
+}
+
+// Letting go.
+
+TEST_CASE("a state that no writer takes is let go of within the limit; the refusal comes at once") {
+  Site s(1, 1);
+  for (int i = 0; i < 40; ++i)
+    s.worker("writer-0").acts.push_back({http::response_text(503, "X-Rejected: 1\r\n", "", true)});
+  s.send("a", Site::call("a1"));
+  const Got& got = s.answer("a");
+  CHECK(got.status == 503);
+  CHECK(got.took < 1000 * kMs);
+  CHECK(got.fields.find("retry-after: 0.") != std::string::npos);
+  s.pass(200);
+  CHECK(s.states.empty());
+  CHECK(s.lines("DELETE a1") >= 1);
+}
+
+TEST_CASE("where the settings allow no time to come back, none is named") {
+  json settings = small_settings();
+  settings["caps"]["retryAfter"] = false;
+  Site s(0, 0, settings);
+  s.send("a", Site::call("a1"));
+  CHECK(s.answer("a").status == 503);
+  CHECK(s.answer("a").fields.find("retry-after") == std::string::npos);
+}
+
+TEST_CASE("a reader that cannot be reached: another worker is told to let go") {
+  Site s(1, 1);
+  s.worker("writer-0").acts = std::deque<Act>(
+      20, {http::response_text(503, "X-Rejected: 1\r\n", "", true), Act::Then::keep, 30 * kMs});
+  s.send("a", Site::call("a1"));
+  s.loop.run_until([&] { return !s.states.empty(); });
+  s.pass(5);
+  s.worker("reader-0").die();
+  CHECK(s.answer("a").status == 503);
+  s.pass(1000);
+  CHECK(s.worker("writer-0").seen.back() == "DELETE a1");
+}
+
+TEST_CASE("a client that leaves: its attempts end, what is held is let go of, nothing more is sent") {
+  SUBCASE("during the read") {
+    Site s(1, 1);
+    s.worker("reader-0").acts = {{"", Act::Then::keep, 300 * kMs, true}};
+    s.send("a", Site::call("a1"), 100 * kMs);
+    s.answer("a");
+    s.pass(50);
+    CHECK(s.open_at("reader-0") == 0);
+    s.pass(1500);
+    CHECK(s.lines("POST") == 1);
+    CHECK(s.lines("DELETE a1") >= 1);
+    CHECK(s.node->host().live() == 0);
+  }
+  SUBCASE("during the stream, with bytes of a next request on the connection") {
+    Site s(1, 1);
+    s.worker("writer-0").events = 500;
+    s.send("a", Site::call("a1") + "POST /v1", 300 * kMs);
+    s.answer("a");
+    s.pass(200);
+    CHECK(s.open_at("writer-0") == 0);
+    CHECK(s.node->host().live() == 0);
+  }
+}
+
+TEST_CASE("a read whose answer was lost on its way may have left a state: it is let go of within the limit") {
+  Site s(1, 1);
+  s.worker("reader-0").acts = {{"", Act::Then::reset, 10 * kMs, false, true}};
+  s.send("a", Site::call("a1"));
+  s.loop.run_until([&] { return !s.states.empty(); });
+  s.pass(900);
+  CHECK(s.states.empty());
+  CHECK(s.lines("DELETE a1") >= 1);
+}
+
+TEST_CASE("what is believed of load is what is out on the sockets, whatever fails") {
+  Site s(2, 2);
+  s.worker("reader-0").acts = {{"", Act::Then::keep, 200 * kMs, true},
+                               {http::response_text(500, "", "", true)},
+                               {"", Act::Then::reset},
+                               {"", Act::Then::hold}};
+  s.worker("writer-0").acts = {{http::response_text(503, "X-Rejected: 1\r\n", "", true)},
+                               {"", Act::Then::keep, 300 * kMs, true},
+                               {Worker::stream_head() + "zz\r\n", Act::Then::hold}};
+  for (int i = 0; i < 30; ++i) {
+    s.send("a" + std::to_string(i), Site::call("a" + std::to_string(i)));
+    s.pass(13);
+    s.agree();
+  }
+  for (int i = 0; i < 30; ++i) CHECK(s.answer("a" + std::to_string(i)).status == 200);
+  s.pass(2000);
+  s.agree();
+  for (const auto& load : s.node->host().loads()) CHECK(load.out == 0);
+}
+
+// What bad clients send.
+
+TEST_CASE("what cannot be taken gets one 4xx and a close, and no worker hears of it") {
+  using F = std::vector<std::pair<std::string, std::string>>;
+  const F good = {{"X-Call-Id", "z1"},
+                  {"X-Call-Class", "chat"},
+                  {"X-Caller", "acme"},
+                  {"X-Budget-Ms", "900"},
+                  {"X-Call-Info", "prompt_len=10,prefix_len=0,max_out=5"}};
+  const auto change = [&](std::size_t i, const char* value) {
+    F f = good;
+    f[i].second = value;
+    return Site::with(f);
+  };
+  const auto without = [&](std::size_t i) {
+    F f = good;
+    f.erase(f.begin() + static_cast<std::ptrdiff_t>(i));
+    return Site::with(f);
+  };
+  F twice = good;
+  twice.emplace_back("x-call-id", "z2");
+  const std::string get = "GET /v1/chat/completions HTTP/1.1\r\nHost: h\r\n\r\n";
+  const std::string hidden = Site::call("hidden");
+  const std::pair<const char*, std::string> cases[] = {
+      {"no id", without(0)},
+      {"two ids", Site::with(twice)},
+      {"an id that is a path", change(0, "../x")},
+      {"a long id", change(0, std::string(300, 'a').c_str())},
+      {"no class", without(1)},
+      {"a class that does not exist", change(1, "nothing")},
+      {"a tenant that does not exist", change(2, "nobody")},
+      {"no deadline", without(3)},
+      {"a deadline that is no number", change(3, "soon")},
+      {"a deadline that is negative", change(3, "-5")},
+      {"a deadline of nothing", change(3, "0")},
+      {"a deadline with more behind", change(3, "900x")},
+      {"a deadline past all numbers", change(3, "99999999999999999999999")},
+      {"a length that is no number", change(4, "prompt_len=many")},
+      {"a length that is negative", change(4, "prompt_len=-1")},
+      {"lengths without sense", change(4, "prompt_len")},
+      {"a body that is no JSON", Site::with(good, "{\"model\":")},
+      {"a body with more behind", Site::with(good, "{} {}")},
+      {"a body that is no object", Site::with(good, "[1]")},
+      {"another method", get},
+      {"another path", "POST /other HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"},
+      {"not HTTP", std::string("\x16\x03\x01 hello\r\n\r\n")},
+      {"an endless head", "POST /v1/chat/completions HTTP/1.1\r\nx: " + std::string(100'000, 'y')},
+      {"a length below nothing", "POST /v1/chat/completions HTTP/1.1\r\nContent-Length: -4\r\n\r\nbody"},
+      {"a length past all numbers",
+       "POST /v1/chat/completions HTTP/1.1\r\nContent-Length: 99999999999999999999999\r\n\r\nbody"},
+      {"60 MB to come", "POST /v1/chat/completions HTTP/1.1\r\nContent-Length: 60000000\r\n\r\nbody"},
+      {"both lengths",
+       "POST /v1/chat/completions HTTP/1.1\r\nContent-Length: 5\r\n"
+       "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" +
+           hidden},
+      {"both lengths, the other way",
+       "POST /v1/chat/completions HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"
+       "Content-Length: 5\r\n\r\n0\r\n\r\n" +
+           hidden},
+  };
+  Site s(1, 1);
+  for (const auto& [what, text] : cases) {
+    CAPTURE(std::string(what));
+    s.send(what, text);
+    const Got& got = s.answer(what);
+    CHECK(got.status >= 400);
+    CHECK(got.status < 500);
+    CHECK(got.closed);
+    CHECK(got.took < 3000 * kMs);
+  }
+  CHECK(s.lines("") == 0);
+  CHECK(s.node->host().live() == 0);
+  s.send("after", Site::call("a1"));
+  CHECK(s.answer("after").whole);
+}
+
+TEST_CASE("the id of a request that is open here: refused, and that request is not touched") {
+  Site s(1, 1);
+  s.worker("writer-0").events = 20;
+  s.send("a", Site::call("same"));
+  s.pass(60);
+  s.send("b", Site::call("same"));
+  CHECK(s.answer("b").status == 409);
+  CHECK(s.answer("a").whole);
+  CHECK(s.answer("a").body == whole_stream(20));
+  s.send("c", Site::call("same"));  // no longer open
+  CHECK(s.answer("c").whole);
+}
+
+TEST_CASE("a client that says nothing, or half of something, is let go of in under three seconds") {
+  const std::pair<const char*, std::string> cases[] = {
+      {"nothing", ""},
+      {"half a head", "POST /v1/chat/completions HTTP/1.1\r\nX-Call-Id: 1"},
+      {"half a body", Site::call("half").substr(0, 500)},
+  };
+  Site s(1, 1);
+  for (const auto& [what, text] : cases) {
+    CAPTURE(std::string(what));
+    s.send(what, text);
+    CHECK(s.answer(what).closed);
+    CHECK(s.answer(what).took < 3000 * kMs);
+    CHECK(s.answer(what).took > 2000 * kMs);
+  }
+  CHECK(s.lines("") == 0);
+}
+
+TEST_CASE("a hundred requests at once on one connection are answered one after the other, in their order") {
+  Site s(1, 1);
+  std::string text;
+  for (int i = 0; i < 100; ++i) text += Site::call("p" + std::to_string(i), Site::prompt(), "60000");
+  s.send("a", text, 0, 100);
+  s.answer("a");
+  CAPTURE(s.all["a"].back().status);
+  CAPTURE(s.all["a"].back().body);
+  CAPTURE(s.all["a"].back().took / kMs);
+  REQUIRE(s.all["a"].size() == 100);
+  for (const Got& got : s.all["a"]) CHECK(got.body == whole_stream(3));
+  CHECK(s.worker("writer-0").seen[57] == "POST /v1/chat/completions?trace=1 p57");
+}
+
+TEST_CASE(
+    "connections by hundreds that say nothing: those quiet longest make way, a usual client is served") {
+  Site s(1, 1, small_settings(), 64);
+  s.worker("writer-0").events = 60;
+  s.send("a", Site::call("a1"));
+  s.pass(100);
+  for (int i = 0; i < 300; ++i) s.send("flood" + std::to_string(i), "");
+  s.pass(50);
+  s.send("b", Site::call("b1"));
+  CHECK(s.answer("a").body == whole_stream(60));
+  CHECK(s.answer("b").body == whole_stream(60));
+  for (int i = 0; i < 300; ++i) CHECK(s.answer("flood" + std::to_string(i)).closed);
+}
+
+// Discovery, new configurations, restarts.
+
+TEST_CASE("changes come by a watch right after each answer; a drain is kept") {
+  Site s(1, 2);
+  CHECK(s.agent.calls[0] == "/discovery/hosts");
+  CHECK(s.agent.calls[1].starts_with("/discovery/hosts?index="));
+  s.agent.put(Site::target(s.worker("writer-0"), "draining"));
+  s.pass(20);
+  for (int i = 0; i < 5; ++i) {
+    const std::string id = "a" + std::to_string(i);
+    s.send(id, Site::call(id));
+    CHECK(s.answer(id).whole);
+  }
+  CHECK(s.worker("writer-0").seen.empty());
+}
+
+TEST_CASE("a version that goes back leads to the whole list") {
+  Site s(1, 1);
+  s.agent.rev = 5;
+  s.agent.put(Site::target("gone", "127.0.0.1:1", true, "removed"));
+  s.pass(200);
+  CHECK(s.agent.calls.back().starts_with("/discovery/hosts?index=6"));
+  CHECK(std::ranges::count(s.agent.calls, "/discovery/hosts") == 2);
+}
+
+TEST_CASE("discovery that is silent: the list that was told serves, and calls are bounded in time") {
+  Site s(1, 1);
+  s.agent.silent = true;
+  s.pass(40'000);
+  s.send("a", Site::call("a1"));
+  CHECK(s.answer("a").whole);
+  CHECK(s.agent.calls.size() > 10);
+}
+
+TEST_CASE("an entry of a kind or zone that is not known is left out, the others are used") {
+  Site s(1, 1);
+  json odd = Site::target("odd", "127.0.0.1:1", true);
+  odd["model"] = "unheard-of";
+  s.agent.put(odd);
+  s.pass(20);
+  s.send("a", Site::call("a1"));
+  CHECK(s.answer("a").whole);
+}
+
+TEST_CASE("ten thousand workers come and go under new ids: their places are used again") {
+  Site s(1, 1);
+  std::size_t most = 0;
+  for (int batch = 0; batch < 100; ++batch) {
+    for (int i = 0; i < 100; ++i)
+      s.agent.put(Site::target(fmt::format("w{}-{}", batch, i), "127.0.0.1:1", i % 2 == 0));
+    s.pass(500);
+    for (int i = 0; i < 100; ++i)
+      s.agent.put(Site::target(fmt::format("w{}-{}", batch, i), "127.0.0.1:1", i % 2 == 0, "removed"));
+    s.pass(6500);
+    if (batch == 49) most = s.node->host().fleet().links().size();
+  }
+  CHECK(most < 1200);
+  CHECK(s.node->host().fleet().links().size() == most);
+  s.send("a", Site::call("a1"));
+  CHECK(s.answer("a").whole);
+}
+
+TEST_CASE(
+    "connections to workers are bounded: kept ones make way, and one that has no room is no worker's fault") {
+  Site s(2, 2, small_settings(), 32);  // 12 to workers
+  for (auto& w : s.workers) w->events = 30;
+  for (int i = 0; i < 14; ++i) s.send("a" + std::to_string(i), Site::call("a" + std::to_string(i)));
+  int served = 0;
+  for (int i = 0; i < 14; ++i) {
+    const Got& got = s.answer("a" + std::to_string(i));
+    served += got.whole && got.status == 200;
+    CHECK((got.status == 200 || got.status == 503));
+  }
+  CHECK(served >= 10);
+  s.pass(3000);
+  s.send("b", Site::call("b1"));
+  CHECK(s.answer("b").status == 200);
+  CHECK(s.states.empty());
+}
+
+TEST_CASE("discovery moves under load: the new agent is asked at once, nothing in flight is touched") {
+  Site s(1, 2);
+  s.worker("writer-0").events = s.worker("writer-1").events = 40;
+  for (int i = 0; i < 4; ++i) s.send("a" + std::to_string(i), Site::call("a" + std::to_string(i)));
+  s.pass(100);
+  Agent next(s.loop);
+  next.rev = 100;
+  for (auto& w : s.workers) next.put(Site::target(*w, w->name == "writer-0" ? "draining" : "up"));
+  s.node->move_discovery(next.server.address());
+  s.pass(50);
+  REQUIRE(next.calls.size() >= 2);
+  CHECK(next.calls[0] == "/discovery/hosts");
+  for (int i = 0; i < 4; ++i) CHECK(s.answer("a" + std::to_string(i)).body == whole_stream(40));
+  const std::size_t before = s.worker("writer-0").seen.size();
+  s.send("b", Site::call("b1"));
+  CHECK(s.answer("b").whole);
+  CHECK(s.worker("writer-0").seen.size() == before);
+  const std::size_t old_calls = s.agent.calls.size();
+  s.pass(30'000);
+  CHECK(s.agent.calls.size() == old_calls);
+  s.scope.cancel();
+  s.node.reset();
+}
+
+TEST_CASE(
+    "a planned restart: new connections are served, connections end after their answers, nothing is lost") {
+  Site s(1, 1);
+  s.worker("writer-0").events = 40;
+  s.send("before", Site::call("a1"));
+  s.send("idle", "GET /up HTTP/1.1\r\nHost: h\r\n\r\n");
+  s.pass(100);
+  s.node->wind_down();
+  s.send("after", Site::call("b1"));
+  CHECK(s.answer("before").body == whole_stream(40));
+  CHECK(s.answer("after").body == whole_stream(40));
+  CHECK(s.answer("before").closed);
+  CHECK(s.answer("after").closed);
+  s.pass(50);
+  CHECK(s.node->settled());
+}
+
+TEST_CASE("signals are told by their number, in the order in which they came") {
+  io::Loop loop;
+  io::Signals signals(loop, {SIGHUP, SIGUSR2});
+  std::vector<int> came;
+  io::Scope scope(loop);
+  scope.spawn([](io::Signals& from, std::vector<int>& to) -> io::Task<> {
+    for (;;) to.push_back(co_await from.wait());
+  }(signals, came));
+  std::raise(SIGHUP);
+  std::raise(SIGUSR2);
+  std::raise(SIGHUP);
+  loop.run_until([&] { return came.size() == 3; });
+  CHECK(came == std::vector<int>{SIGHUP, SIGUSR2, SIGHUP});
+}
+
+}  // namespace cressrill::testing
--- /dev/null
+++ b/tests/site.h
@@ -0,0 +1,414 @@
+// The platform on loopback in one process and on handed time: scripted workers and discovery, one router started from
+// the text of a configuration, clients. All servers are stand-ins of ours, written from the protocol's description.
+#pragma once
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+#include <deque>
+#include <map>
+#include <set>
+
+#include "platform/node.h"
+
+namespace cressrill::testing {
+
+using io::kMs;
+using nlohmann::json;
+
+inline const io::Address kAnyPort{127u << 24 | 1, 0};
+
+// What a worker does with a request, where it is not the usual.
+struct Act {
+  enum class Then { keep, close, reset, hold };
+  std::string text;  // sent in place of an answer
+  Then then{Then::keep};
+  io::Nanos after{};    // waits so long first
+  bool usual{};         // after that wait, answers as usual
+  bool leaves{};        // a state stays here before that
+  std::string later{};  // sent 50 ms behind the text
+};
+
+// States that readers hold, by the id of their request: who holds them.
+using States = std::map<std::string, std::string>;
+
+class Worker {
+ public:
+  Worker(io::Loop& loop, std::string its_name, bool is_reader, States& states)
+      : name(std::move(its_name)),
+        reads(is_reader),
+        loop_(loop),
+        states_(states),
+        listener_(std::make_unique<io::Listener>(loop, kAnyPort)),
+        address(listener_->address().text()),
+        scope_(loop) {
+    scope_.spawn(accept());
+  }
+  void die() {
+    scope_.cancel();
+    listener_.reset();
+    open = 0;
+  }
+
+  std::string name;
+  bool reads;
+  int events{3};
+  std::deque<Act> acts;
+  std::vector<std::string> seen;   // a line for each request that came whole
+  std::vector<std::string> texts;  // of those that are no release: body
+  int open{};                      // requests that came and whose connection is neither answered nor ended
+  int connections{};
+
+ private:
+  io::Loop& loop_;
+  States& states_;
+  std::unique_ptr<io::Listener> listener_;
+
+ public:
+  std::string address;
+
+ private:
+  io::Task<> accept() {
+    for (;;) {
+      io::Socket s = co_await listener_->accept();
+      ++connections;
+      scope_.spawn(serve(std::move(s)));
+    }
+  }
+  static std::string chunk(std::string_view data) {
+    return std::string(http::ChunkLine(data.size()).text()).append(data).append("\r\n");
+  }
+  struct Open {
+    explicit Open(int& n) : count(n) { ++count; }
+    ~Open() { --count; }
+    int& count;
+  };
+  io::Task<> serve(io::Socket s) {
+    http::Reader reader(s, http::Kind::request);
+    for (;;) {
+      http::Head head;
+      std::string body;
+      if (co_await reader.head(head) != http::Fault::none) co_return;
+      if (co_await reader.rest(body) != http::Fault::none) co_return;
+      const std::string target(head.target);
+      if (head.method == "DELETE") {
+        const std::string id = target.substr(target.rfind('/') + 1);
+        seen.push_back("DELETE " + id);
+        states_.erase(id);
+        co_await s.write_all("HTTP/1.1 204 No Content\r\n\r\n");
+        continue;
+      }
+      const std::string id(head.field("x-call-id").value_or("none"));
+      seen.push_back(fmt::format("{} {} {}", head.method, target, id));
+      texts.push_back(body);
+      Open in_hand(open);
+      io::Scope watch(loop_);
+      bool left = false;
+      watch.spawn([](io::Socket& to, bool& gone, Worker& w) -> io::Task<> {
+        co_await to.peer_gone();
+        if (!gone) gone = true, --w.open;
+      }(s, left, *this));
+      struct Back {  // a peer that left was counted off already
+        bool& gone;
+        int& count;
+        ~Back() { count += gone; }
+      } back{left, open};
+      Act act{"", Act::Then::keep, 0, true};
+      if (!acts.empty()) act = acts.front(), acts.pop_front();
+      if (act.after > 0) co_await loop_.sleep_for(act.after);
+      if (act.usual) {
+        if (reads)
+          co_await read(s, id);
+        else
+          co_await write(s, id);
+        continue;
+      }
+      if (act.leaves) states_[id] = name;
+      co_await s.write_all(act.text);
+      if (!act.later.empty()) {
+        co_await loop_.sleep_for(50 * kMs);
+        co_await s.write_all(act.later);
+      }
+      if (act.then == Act::Then::hold) co_await loop_.sleep_for(600 * io::kSecond);
+      if (act.then == Act::Then::reset) s.close(true);
+      if (act.then != Act::Then::keep) co_return;
+    }
+  }
+  io::Task<> read(io::Socket& s, std::string id) {
+    co_await loop_.sleep_for(20 * kMs);
+    states_[id] = name;
+    co_await s.write_all(
+        "HTTP/1.1 202 Accepted\r\nX-Load-Report: concurrent=1,x0=0.2\r\n"
+        "content-length: 20\r\n\r\n{\"cached_tokens\":128}");
+  }
+  io::Task<> write(io::Socket& s, std::string id) {
+    if (states_.erase(id) == 0) {
+      co_await s.write_all("HTTP/1.1 410 Gone\r\nX-Rejected: 1\r\ncontent-length: 0\r\n\r\n");
+      co_return;
+    }
+    co_await s.write_all(stream_head());
+    for (int i = 0; i < events; ++i) {
+      co_await s.write_all(chunk(event(i)));
+      co_await loop_.sleep_for(20 * kMs);
+    }
+    co_await s.write_all(chunk(ending()) + chunk(": X-Load-Report: concurrent=2,x0=0.3\n\n") + "0\r\n\r\n");
+  }
+
+ public:
+  static std::string stream_head() {
+    return "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
+  }
+  static std::string event(int i) {
+    return fmt::format("data: {{\"choices\":[{{\"index\":0,\"delta\":{{\"content\":\"t{}\"}}}}]}}\n\n", i);
+  }
+  static std::string ending() {
+    return "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":100,\"completion_tokens\":3,"
+           "\"prompt_tokens_details\":{\"cached_tokens\":96}}}\n\ndata: [DONE]\n\n";
+  }
+  static std::string framed(std::string_view data) { return chunk(data); }
+
+ private:
+  io::Scope scope_;
+};
+
+// Discovery's agent: the whole list, and watches that wait for a newer version.
+class Agent {
+ public:
+  explicit Agent(io::Loop& loop)
+      : loop_(loop), changed_(loop), server(loop, kAnyPort, [this](http::Request& r, http::Answer& a) {
+          return answer(std::string(r.head.target), a);
+        }) {}
+  void put(const json& target) {
+    std::erase_if(all_, [&](const json& t) { return t["uid"] == target["uid"]; });
+    if (target["state"] != "removed") all_.push_back(target);
+    changes_.emplace_back(++rev, target);
+    if (changes_.size() > 1000) changes_.erase(changes_.begin(), changes_.begin() + 500);
+    changed_.notify();
+  }
+  std::uint64_t rev{40};
+  bool silent{};
+  std::vector<std::string> calls;
+
+ private:
+  io::Task<> answer(std::string target, http::Answer& to) {
+    calls.push_back(target);
+    if (silent) co_await loop_.sleep_for(600 * io::kSecond);
+    const std::size_t at = target.find("index=");
+    if (at == std::string::npos) {
+      co_await to.whole(200, "", text_of(true, all_));
+      co_return;
+    }
+    const auto after = static_cast<std::uint64_t>(std::stoll(target.substr(at + 6)));
+    const io::Nanos until = loop_.now() + 10 * io::kSecond;
+    while (rev == after && loop_.now() < until)
+      co_await io::within(loop_, until, [](io::Signal& s) -> io::Task<bool> {
+        co_await s.wait();
+        co_return true;
+      }(changed_));
+    std::vector<json> some;
+    for (const auto& [version, changed] : changes_)
+      if (version > after) some.push_back(changed);
+    co_await to.whole(200, "", text_of(false, some));
+  }
+  std::string text_of(bool whole, const std::vector<json>& targets) const {
+    return json{{"rev", rev}, {"all", whole}, {"targets", json(targets)}}.dump();
+  }
+  io::Loop& loop_;
+  io::Signal changed_;
+  std::vector<json> all_;
+  std::vector<std::pair<std::uint64_t, json>> changes_;
+
+ public:
+  http::Server server;
+};
+
+inline json small_settings() {
+  return json::parse(R"({"azs":["east","west"],"models":["prefill","decode"],"instances":1,"locality":0,
+    "granularityMs":2.0,"discovery":"automatic",
+    "caps":{"attemptsCap":6,"cancelling":true,"parallelTries":true,"retryAfter":true,"maxRetryAfterMs":400.0,
+            "connIdleMs":8000.0,"dialTimeoutMs":250.0},
+    "familyInfo":{"dutyByKind":["read","write"],"memoryTokens":[100000,100000],"pinLimitMs":1000.0,
+                  "aimUsPer1000PromptTokens":[40000.0],"reportX0":"share of memory that is held"},
+    "obligations":{"coldFrom":0.25,"rampTimeMs":8000.0,"fallMultiple":4.0,"fallMs":3000.0,
+                   "stopSendingWithinMs":500.0},
+    "services":[{"effect":"retryable","group":"all","goalTimeMs":1500.0,"worth":1.0,"name":"chat"}],
+    "stats":{"columns":["concurrent","x0"],"via":"inline"},
+    "tenants":[{"allowancePerS":1000.0,"name":"acme"}]})");
+}
+
+struct Got {
+  int status{};
+  std::string fields;
+  std::string body;
+  bool whole{};   // framed to its end
+  bool closed{};  // the connection ended
+  io::Nanos took{};
+  io::Nanos last{};  // when its last byte had come
+};
+
+class Site {
+ public:
+  explicit Site(int readers = 2, int writers = 2, const json& settings = small_settings(),
+                std::size_t descriptors = 256)
+      : agent(loop), log("n0", "off") {
+    for (int i = 0; i < readers + writers; ++i) {
+      const bool reads = i < readers;
+      workers.push_back(std::make_unique<Worker>(
+          loop, reads ? fmt::format("reader-{}", i) : fmt::format("writer-{}", i - readers), reads, states));
+      agent.put(target(*workers.back()));
+    }
+    config = {{"name", "n0"},
+              {"listen", "127.0.0.1:0"},
+              {"discovery", agent.server.address().text()},
+              {"seed", "8c1f30d27a5be964"},
+              {"limits", {{"cores", 1.0}, {"memory_mb", 64}, {"sockets", descriptors}}},
+              {"known", {{"rev", 3}, {"all", true}, {"targets", json::array()}}},
+              {"settings", settings}};
+    placement = std::make_unique<platform::Placement>(platform::read_placement(config.dump()));
+    node = std::make_unique<platform::Node>(loop, *placement, log, make_policy);
+    pass(20);
+  }
+  ~Site() {
+    scope.cancel();
+    node.reset();
+  }
+  static json target(const Worker& w, const std::string& state = "up") {
+    return target(w.name, w.address, w.reads, state);
+  }
+  static json target(const std::string& name, const std::string& address, bool reads,
+                     const std::string& state = "up") {
+    return {{"uid", name},          {"endpoint", address},
+            {"az", "east"},         {"model", reads ? "prefill" : "decode"},
+            {"pod_group", 3},       {"state", state},
+            {"capacity_hint", 1.0}, {"boot_ms", 0}};
+  }
+  Worker& worker(const std::string& name) {
+    for (auto& w : workers)
+      if (w->name == name) return *w;
+    throw std::invalid_argument(name);
+  }
+  void pass(std::int64_t ms) {
+    bool over = false;
+    io::Scope timer(loop);
+    timer.spawn([](io::Loop& l, io::Nanos until, bool& o) -> io::Task<> {
+      co_await l.sleep_until(until);
+      o = true;
+    }(loop, loop.now() + ms * kMs, over));
+    loop.run_until([&] { return over; });
+  }
+
+  static std::string prompt(int words = 100) {
+    std::string text;
+    for (int i = 0; i < words; ++i) text += "word ";
+    return json{{"model", "chat"},
+                {"stream", true},
+                {"max_tokens", 100},
+                {"messages", {{{"role", "user"}, {"content", text}}}}}
+        .dump();
+  }
+  static std::string call(const std::string& id, const std::string& body = prompt(),
+                          const std::string& budget = "4800") {
+    return with({{"X-Call-Id", id},
+                 {"X-Call-Class", "chat"},
+                 {"X-Caller", "acme"},
+                 {"X-Route-Hash", "7f3a9c21e0b4d655"},
+                 {"X-Budget-Ms", budget},
+                 {"X-Call-Info", "prefix=5c0f6e1a2b3d4c59,prompt_len=128,prefix_len=64,max_out=100"}},
+                body);
+  }
+  static std::string with(const std::vector<std::pair<std::string, std::string>>& fields,
+                          const std::string& body = prompt()) {
+    std::string out = "POST /v1/chat/completions?trace=1 HTTP/1.1\r\nHost: service.internal\r\n";
+    for (const auto& [name, value] : fields) out.append(name).append(": ").append(value).append("\r\n");
+    return out.append(fmt::format("Content-Length: {}\r\n\r\n", body.size())).append(body);
+  }
+
+  // Sends a text on a connection of its own and goes on; what comes stands in heard[name], once it has ended, and in
+  // coming[name] meanwhile. leave: closes after so long.
+  void send(const std::string& name, std::string text, io::Nanos leave = 0, std::size_t answers = 1) {
+    scope.spawn(talk(name, std::move(text), leave, answers));
+  }
+  const Got& answer(const std::string& name) {
+    const bool came = loop.run_until([&] { return heard.contains(name); });
+    CHECK_MESSAGE(came, "no answer to " << name);
+    return heard[name];
+  }
+  // What the decisions believe of load against what passes on the sockets.
+  void agree() {
+    std::size_t held = 0;
+    for (const auto& load : node->host().loads()) {
+      CAPTURE(load.worker);
+      CHECK(load.believed.pending == load.out);
+      CHECK(load.out <= worker(load.worker).open);  // a stream that flows is open there too
+      held += static_cast<std::size_t>(load.believed.states);
+    }
+    CHECK(held == states.size());
+  }
+  // Attempts that the workers have open, by their own count.
+  int open_at(const std::string& name) { return worker(name).open; }
+  std::size_t lines(const std::string& start) const {
+    std::size_t n = 0;
+    for (const auto& w : workers)
+      for (const std::string& line : w->seen) n += line.starts_with(start);
+    return n;
+  }
+
+  io::Loop loop{io::Loop::Time::handed};
+  States states;
+  std::vector<std::unique_ptr<Worker>> workers;
+  Agent agent;
+  core::Log log;
+  json config;
+  std::unique_ptr<platform::Placement> placement;
+  std::unique_ptr<platform::Node> node;
+  std::map<std::string, Got> heard;
+  std::map<std::string, std::vector<Got>> all;
+  io::Scope scope{loop};
+
+ private:
+  io::Task<> talk(std::string name, std::string text, io::Nanos leave, std::size_t answers) {
+    Got got;
+    const io::Nanos began = loop.now();
+    io::Socket socket;
+    const io::Moved made = co_await io::connect(loop, node->address(), socket);
+    CHECK(made.ok());
+    http::Reader reader(socket, http::Kind::response);
+    co_await socket.write_all(text);
+    io::Scope leaver(loop);
+    if (leave > 0)
+      leaver.spawn([](io::Loop& l, io::Nanos span, io::Socket& s) -> io::Task<> {
+        co_await l.sleep_for(span);
+        s.close();
+      }(loop, leave, socket));
+    for (std::size_t i = 0; i < answers; ++i) {
+      got = {};
+      http::Head head;
+      http::Fault fault = co_await reader.head(head);
+      got.closed = fault == http::Fault::closed;
+      got.status = head.status, got.last = loop.now();
+      if (fault == http::Fault::none)
+        for (const auto& [key, value] : head.fields)
+          got.fields.append(key).append(": ").append(value).append("\n");
+      while (fault == http::Fault::none && reader.more()) {
+        fault = co_await reader.body(got.body);
+        got.last = loop.now();
+      }
+      got.whole = got.status != 0 && fault == http::Fault::none;
+      got.took = loop.now() - began;
+      all[name].push_back(got);
+      if (!got.whole) break;
+    }
+    if (got.whole && leave == 0) {  // whether the router ends the connection by itself
+      const auto ended =
+          co_await io::within(loop, loop.now() + 1500 * kMs, [](io::Socket& s) -> io::Task<bool> {
+            co_await s.peer_gone();
+            co_return true;
+          }(socket));
+      got.closed = ended.has_value();
+    }
+    leaver.cancel();
+    heard[name] = got;
+  }
+};
+
+}  // namespace cressrill::testing
