A connection that broke alone is no dead worker; idle connections that get lost are not reused

Seen in the attempt log: a fifth of the uses of kept connections that had stood 0.1 to 1 s were reset unheard, and each took its worker away for 2 to 3 s and left it cold for 12 (src/policy.cpp judge, answered); with most workers aside, dead ones were called back and all six attempts of a sequence spent on them in one instant. Ruled out: the router's own delay (p99 215 us) and its list (told as discovery had it). The 55 streams that broke did so with their workers.

--- a/http/client.cpp
+++ b/http/client.cpp
@@ -28,6 +28,12 @@
   returned_.notify();
 }
 
+void Pool::note(const Connection& connection, bool answered) {
+  if (!bounds_.room || !connection.used_before) return;
+  Trust& trust = bounds_.room->trust_;
+  answered ? trust.fine(connection.stood, loop_.now()) : trust.lost(connection.stood, loop_.now());
+}
+
 void Pool::drop_kept() {
   while (!kept_.empty()) {
     kept_.pop_front();
@@ -38,10 +44,12 @@
 io::Task<std::unique_ptr<Connection>> Pool::take(bool& crowded) {
   const io::Nanos until = loop_.now() + bounds_.dial_timeout;
   for (;;) {
-    while (!kept_.empty()) {
-      auto connection = std::move(kept_.back().connection);
-      connection->stood = loop_.now() - kept_.back().since;
-      kept_.pop_back();
+    for (std::size_t i = kept_.size(); i-- > 0;) {
+      const io::Nanos stood = loop_.now() - kept_[i].since;
+      if (bounds_.room && !bounds_.room->trust_.worth(stood, loop_.now())) continue;
+      auto connection = std::move(kept_[i].connection);
+      connection->stood = stood;
+      kept_.erase(kept_.begin() + static_cast<std::ptrdiff_t>(i));
       // The peer may have closed it meanwhile: seen here, nothing was sent and nothing can have run.
       if (!connection->socket.spoiled()) {
         connection->used_before = true;
@@ -112,10 +120,12 @@
   const io::Moved moved = co_await lease->socket.write_all(text);
   out.sent = moved.bytes > 0;
   if (!moved.ok()) {
+    if (out.sent) lease.lost();
     out.fault = Fault::closed;
     co_return out;
   }
   out.fault = co_await lease->reader->head(out.head);
+  out.fault == Fault::none ? lease.answered() : lease.lost();
   if (out.fault == Fault::none) out.fault = co_await lease->reader->rest(out.body);
   if (out.fault == Fault::none && out.head.keep_alive) lease.keep();
   co_return out;
--- a/http/client.h
+++ b/http/client.h
@@ -5,6 +5,7 @@
 #include <memory>
 
 #include "message.h"
+#include "trust.h"
 
 namespace cressrill::http {
 
@@ -17,7 +18,8 @@
 
 class Pool;
 
-// A bound on the connections of many pools together. Kept ones make way for new ones, the oldest first.
+// What many pools share: a bound on their connections together, where kept ones make way for new ones, the oldest
+// first; and what is known of kept ones.
 class Room {
  public:
   explicit Room(std::size_t most) : most_(most) {}
@@ -27,6 +29,7 @@
   friend class Pool;
   // Whether another may be opened.
   bool make();
+  Trust trust_;
   std::size_t most_;
   std::size_t open_{};
   std::vector<Pool*> pools_;
@@ -54,6 +57,7 @@
   // A connection whose last response was read to its end. Others are dropped instead.
   void give_back(std::unique_ptr<Connection> connection);
   void dropped();
+  void note(const Connection& connection, bool answered);
   // Closes what is kept and not in use.
   void drop_kept();
   io::Address peer() const { return peer_; }
@@ -90,6 +94,9 @@
     connection_ = co_await pool_->take(crowded_);
     co_return connection_ != nullptr;
   }
+  // Its use brought an answer, or broke before any byte of one.
+  void answered() { pool_->note(*connection_, true); }
+  void lost() { pool_->note(*connection_, false); }
   // Why none was taken: no room on this side, and no fault of the peer.
   bool crowded() const { return crowded_; }
   Connection& operator*() { return *connection_; }
--- a/router/fleet.cpp
+++ b/router/fleet.cpp
@@ -4,6 +4,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <limits>
 
 namespace cressrill::router {
 
@@ -16,8 +17,8 @@
 
 Fleet::Fleet(io::Loop& loop, const core::Station& station, core::Log& log)
     : loop_(loop), station_(station), log_(log) {
-  if (station.all_engine_connections > 0)
-    room_ = std::make_shared<http::Room>(station.all_engine_connections);
+  const std::size_t most = station.all_engine_connections;
+  room_ = std::make_shared<http::Room>(most > 0 ? most : std::numeric_limits<std::size_t>::max());
 }
 
 Role Fleet::role(int worker) const {
--- a/router/host.cpp
+++ b/router/host.cpp
@@ -269,6 +269,7 @@
     if (!moved.ok()) {
       // Nothing left this machine: a kept connection was stale, and another is made. Else it may be running.
       if (moved.bytes == 0 && lease->used_before) continue;
+      if (moved.bytes > 0) lease.lost();
       const bool idle = moved.bytes == 0 || manner_.unwritten_idle;
       co_return end(*ask, k, idle ? Outcome::connect_failed : Outcome::connection_lost);
     }
@@ -276,6 +277,7 @@
     http::Fault fault{};
     for (int i = 0; i == 0 || (fault == http::Fault::none && head.status / 100 == 1 && i < kInformed); ++i)
       fault = co_await lease->reader->head(head);
+    fault == http::Fault::none ? lease.answered() : lease.lost();
     if (fault != http::Fault::none) co_return end(*ask, k, lost(fault));
     const Report report = protocol_.load(head);
     if (run.reads || head.status != 200) {
@@ -374,6 +376,12 @@
   }
   const bool whole =
       (last || manner_.whole_without_last) && fault == http::Fault::none && !connection.reader->more();
+  if (!whole)
+    log_.debug("stream broke", {{"sequence", ask.brief.id},
+                                {"attempt", k},
+                                {"begun", run.begun ? 1 : 0},
+                                {"last_event_came", last ? 1 : 0},
+                                {"fault", http::word(fault)}});
   end(ask, k, whole && run.begun ? Outcome::generated : lost(fault), kept, report);
   co_return whole;
 }
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -31,9 +31,10 @@
 constexpr double kSmooth = 0.1;      // weight of a new sample in a smoothed wait
 constexpr double kLate = 3;          // an attempt is late past this multiple of what it should take,
 constexpr Nanos kGrace = 250 * kMs;  // and this much: a pause, a lost packet, a handshake
-constexpr Nanos kFullRest = 150 * kMs;  // a worker that said full is let be: about one answer's end
-constexpr double kStrikesOut = 2;       // failures less than one success apart
-constexpr Nanos kAside = 2 * kSecond;   // time set aside, plus a random part up to
+constexpr Nanos kFullRest =
+    150 * kMs;                     // one that said full or was not reached is let be: about an answer's end
+constexpr double kStrikesOut = 2;  // failures less than one success apart
+constexpr Nanos kAside = 2 * kSecond;  // time set aside, plus a random part up to
 constexpr Nanos kAsideSpread = kSecond;
 constexpr double kFirstLimit = 8;  // in flight before the first token, per router; grows by one
 constexpr double kLeastLimit = 1;  // a router, and a reader over all routers; fewer would idle readers
@@ -338,22 +339,24 @@
 
   void judge(Worker& w, Outcome outcome, bool silent, bool given_up) {
     const bool lost = outcome == Outcome::connection_lost || outcome == Outcome::connect_failed;
-    if (outcome == Outcome::full) w.full_until = now_ + kFullRest;
+    // Guards against attempts that are all spent at once where every other worker is set aside.
+    if (outcome == Outcome::full || outcome == Outcome::connect_failed) w.full_until = now_ + kFullRest;
     if (outcome == Outcome::full || outcome == Outcome::no_state || outcome == Outcome::error) w.heard = now_;
     if (outcome == Outcome::read_done) ++s_.answers[1];
     if (outcome == Outcome::generated || outcome == Outcome::read_done) answered(w);
-    if (outcome == Outcome::error) w.strikes += w.on_trial ? kStrikesOut : 1;
+    // A connection breaks alone as well, and its worker is fine: a dead one shows itself once more.
+    if (outcome == Outcome::error || (lost && !given_up)) w.strikes += w.on_trial ? kStrikesOut : 1;
     if (outcome == Outcome::timed_out && silent) w.strikes += kStrikesOut;
+    if (outcome == Outcome::connect_failed && w.broke) w.was_down = true;
     if (outcome == Outcome::connection_lost) w.broke = true;
-    if (lost && !given_up) w.strikes += kStrikesOut;
   }
 
   void answered(Worker& w) {
     w.heard = now_, w.strikes /= 2, w.on_trial = false;
     if (w.aside_until > now_) w.aside_until = now_;
     // Guards rule 4 where the list is late: what was down and answers again has just started.
-    if (w.broke) w.cold_since = w.void_before = now_;
-    w.broke = false;
+    if (w.was_down) w.cold_since = w.void_before = now_;
+    w.broke = w.was_down = false;
   }
 
   void note_report(Worker& w, const Report& report) {
--- a/src/state.h
+++ b/src/state.h
@@ -105,7 +105,8 @@
   Nanos gone_since{};   // 0: it is listed
   Nanos cold_since{};   // start by the list or guessed from symptoms; kNever: warm
   Nanos heard{};        // last sign of life
-  bool broke{};         // a connection broke since it was last heard
+  bool broke{};         // a connection broke since it was last heard,
+  bool was_down{};      // and then none could be made
   Nanos aside_until{};
   bool on_trial{};   // back from being aside, one sequence at a time until it answers
   double strikes{};  // failures, ageing with every success
--- a/tests/io_test.cpp
+++ b/tests/io_test.cpp
@@ -28,6 +28,23 @@
 
 }  // namespace
 
+TEST_CASE("kept connections of an age at which requests are lost are left alone, others are used") {
+  http::Trust trust;
+  std::string seen;
+  const auto worth = [&](io::Nanos now) {
+    for (const int ms : {10, 50, 150, 300, 700, 3000}) seen += trust.worth(ms * kMs, now) ? "+" : "-";
+    seen += " ";
+  };
+  worth(0);
+  for (int i = 0; i < 40; ++i) trust.fine(10 * kMs, i * kMs);
+  trust.lost(300 * kMs, 50 * kMs);  // one loss says little
+  worth(60 * kMs);
+  trust.lost(300 * kMs, 70 * kMs), trust.lost(10 * kMs, 70 * kMs);
+  worth(80 * kMs);
+  worth(11 * io::kSecond);  // it is tried again
+  CHECK(seen == "++++++ ++++++ +++-++ ++++++ ");
+}
+
 TEST_CASE("bytes that were seen and left are all read later, however many reads they take") {
   io::Loop loop(io::Loop::Time::handed);
   io::Listener listener(loop, kAnyPort);
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -117,6 +117,8 @@
   t.came(0, 0, 3000);
   t.until(20);
   t.ended(0, 0, Outcome::connection_lost);
+  t.until(30);
+  t.ended(0, 1, Outcome::connect_failed);
   t.until(500);
   t.left(0);
   t.until(4000);
@@ -125,11 +127,33 @@
   t.came(3, 0, 3000);
 }
 
+TEST_CASE("a connection that broke alone: its worker is asked again at once, and is not cold") {
+  Trace t("broke_alone", small_deployment(), 1, 1);
+  t.came(0, 0, 3000);
+  t.until(20);
+  t.ended(0, 0, Outcome::connection_lost);
+  t.until(60);
+  t.ended(0, 1, Outcome::read_done);
+  t.until(80);
+  t.left(0);
+  t.ended(0, 2, Outcome::cancelled);
+  for (int seq = 1; seq < 4; ++seq) t.came(seq, 0, 3000);
+}
+
+TEST_CASE("a worker that refuses connections is let be for a while: the attempts are not all spent at once") {
+  Trace t("refuses", small_deployment(), 1, 1);
+  t.came(0, 0, 3000);
+  t.until(20);
+  t.ended(0, 0, Outcome::connect_failed);
+  t.until(300);
+}
+
 TEST_CASE("a connection that was slow to open is no death: the worker is not cold when it answers") {
   Trace t("slow_connection", small_deployment(), 1, 1);
   t.came(0, 0, 3000);
   t.until(250);
   t.ended(0, 0, Outcome::connect_failed);
+  t.until(450);
   t.left(0);
   t.ended(0, 1, Outcome::cancelled);
   t.until(4000);
