--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -344,8 +344,10 @@
     if (outcome == Outcome::full || outcome == Outcome::no_state || outcome == Outcome::error) w.heard = now_;
     if (outcome == Outcome::read_done) ++s_.answers[1];
     if (outcome == Outcome::generated || outcome == Outcome::read_done) answered(w);
-    // A connection breaks alone as well, and its worker is fine: a dead one shows itself once more.
-    if (outcome == Outcome::error || (lost && !given_up)) w.strikes += w.on_trial ? kStrikesOut : 1;
+    // A connection breaks alone as well, and its worker is fine: a dead one refuses the next.
+    const bool refused = outcome == Outcome::connect_failed && !given_up;
+    if (outcome == Outcome::error || (lost && !given_up))
+      w.strikes += w.on_trial || refused ? kStrikesOut : 1;
     if (outcome == Outcome::timed_out && silent) w.strikes += kStrikesOut;
     if (outcome == Outcome::connect_failed && w.broke) w.was_down = true;
     if (outcome == Outcome::connection_lost) w.broke = true;
