A sequence goes elsewhere after a time-out; a time-out counts as a strike

Seen in the attempt log: from 7 to 15 s some workers left half of one router's requests without a word and answered the rest; single sequences were sent there three times, and as the worker was heard of meanwhile it got no strike (src/policy.cpp judge), only the router's limit was cut. Ruled out: load (memory shares 0.2 to 0.6 there) and the router (p99 152 us).

Change: Attempt::failed_there covers time-outs beside full; a time-out of a worker that was heard of is one strike.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -162,7 +162,7 @@
     double& load = a.reads ? w.read_tokens : w.stream_tokens;
     load = std::max(0.0, load - a.tokens);
     const bool silent = w.heard < a.sent;
-    a.full = outcome == Outcome::full;
+    a.failed_there = outcome == Outcome::full || outcome == Outcome::timed_out;
     if (report.heard) note_report(w, report);
     judge(w, outcome, silent, a.given_up);
     watch(a.worker);
@@ -348,7 +348,7 @@
     const bool refused = outcome == Outcome::connect_failed && !given_up;
     if (outcome == Outcome::error || (lost && !given_up))
       w.strikes += w.on_trial || refused ? kStrikesOut : 1;
-    if (outcome == Outcome::timed_out && silent) w.strikes += kStrikesOut;
+    if (outcome == Outcome::timed_out) w.strikes += silent ? kStrikesOut : 1;
     if (outcome == Outcome::connect_failed && w.broke) w.was_down = true;
     if (outcome == Outcome::connection_lost) w.broke = true;
   }
@@ -730,11 +730,13 @@
     if (!may_send(q, reads)) return usable;
     for (const int w : s_.census.ready[reads])
       if (may_send(q, at(w), reads)) usable.push_back(w);
-    // Guards against workers that say full to one storefront or type only, though they have room.
+    // Guards against workers that say full to one storefront or type only, though they have room, and against
+    // those that answer some and leave others without a word.
     const auto turned_away = [&](int w) {
-      return std::ranges::any_of(q.attempts, [&](const Attempt& a) { return a.full && a.worker == w; });
+      return std::ranges::any_of(q.attempts,
+                                 [&](const Attempt& a) { return a.failed_there && a.worker == w; });
     };
-    const bool any = std::ranges::any_of(q.attempts, &Attempt::full);
+    const bool any = std::ranges::any_of(q.attempts, &Attempt::failed_there);
     if (any && !std::ranges::all_of(usable, turned_away)) std::erase_if(usable, turned_away);
     return usable;
   }
--- a/src/state.h
+++ b/src/state.h
@@ -54,10 +54,10 @@
   int worker{};
   bool reads{};
   bool out{};
-  bool begun{};     // its stream flows
-  bool full{};      // turned away by a worker that was full
-  bool given_up{};  // cancelled, or no longer waited for
-  bool stray{};     // a read that may have left a state without a word
+  bool begun{};         // its stream flows
+  bool failed_there{};  // its worker was full, or kept it waiting too long
+  bool given_up{};      // cancelled, or no longer waited for
+  bool stray{};         // a read that may have left a state without a word
   Nanos sent{};
   Nanos expected{};   // how long it should take
   double tokens{};    // work it lays on the worker
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -140,6 +140,18 @@
   for (int seq = 1; seq < 4; ++seq) t.came(seq, 0, 3000);
 }
 
+TEST_CASE(
+    "a worker that answers some and leaves others without a word: those go elsewhere, and it is set aside") {
+  Trace t("answers_some", small_deployment(), 1, 2);
+  t.read(0, 0, 3000, 50);
+  t.read(1, 0, 3000, 50);
+  t.until(400);
+  t.began(0, 1);
+  t.ended(1, 1, Outcome::timed_out);  // to 2, whose silence ends with it
+  t.until(450);
+  t.began(1, 2);
+}
+
 TEST_CASE("a worker that refuses connections is let be for a while: the attempts are not all spent at once") {
   Trace t("refuses", small_deployment(), 1, 1);
   t.came(0, 0, 3000);
