At the bound idle connections make way at once; refusals survive what clients still send

Seen by reading http/server.cpp accept: at the bound it waited for a connection to end, though one that had become idle could make way; and an answer that ends its connection was closed with bytes unread, which can take it along. Now a connection that becomes idle at the bound is told of, lingering is bounded by 1 s in all and gives way too. The debug log has the times of each stage. Tests: both of these, and the program itself through SIGHUP (bad file, good file) and SIGTERM with a stream in hand.

--- a/http/server.cpp
+++ b/http/server.cpp
@@ -9,7 +9,9 @@
 
 namespace {
 constexpr io::Nanos kLook = 100 * io::kMs;  // clients that are too slow are looked for this often
-}
+constexpr io::Nanos kLinger =
+    io::kSecond;  // for what a client still sends after an answer that ends its connection
+}  // namespace
 
 bool Answer::wrote(const io::Moved& moved) {
   if (!moved.ok()) broken_ = true, keep_alive_ = false;
@@ -101,6 +103,7 @@
   for (Quiet& q : quiet_) {
     if (q.body) continue;
     quiet_.erase(quiet_.iterator_to(q));
+    q.evicted = true, ++evicted_;
     return q.socket.close();
   }
 }
@@ -120,7 +123,7 @@
 io::Task<> Server::accept() {
   for (;;) {
     while (open_ >= connections_) {
-      make_room();
+      if (open_ - evicted_ >= connections_) make_room();
       co_await closed_.wait();
     }
     io::Socket socket = co_await listener_.accept();
@@ -131,15 +134,22 @@
   }
 }
 
-io::Task<> Server::refuse(io::Socket& socket, Fault fault) {
+io::Task<> Server::refuse(io::Socket& socket, Fault fault, bool& evicted) {
   const int status = fault == Fault::body_large ? 413 : fault == Fault::head_large ? 431 : 400;
   const std::string body = refusal_ ? refusal_(status, fault) : std::string(word(fault)) + "\n";
   co_await socket.write_all(response_text(status, "content-type: application/json\r\n", body, false));
-  // Closing with bytes unread would reset the connection and could take the answer with it: read on a while.
-  if (socket.is_open()) ::shutdown(socket.fd(), SHUT_WR);
+  co_await linger(socket, evicted);
+}
+
+// Closing with bytes unread would reset the connection and could take the answer with it: reads on a while.
+io::Task<> Server::linger(io::Socket& socket, bool& evicted) {
+  if (!socket.is_open()) co_return;
+  const io::Nanos until = loop_.now() + kLinger;
+  Quiet quiet(*this, socket, until, evicted);
+  ::shutdown(socket.fd(), SHUT_WR);
   std::array<char, 16 * 1024> buffer;
-  for (int i = 0; i < 64; ++i) {
-    const auto got = co_await io::within(loop_, loop_.now() + io::kSecond, socket.read_some(buffer));
+  for (;;) {
+    const auto got = co_await io::within(loop_, until, socket.read_some(buffer));
     if (!got || !got->ok() || got->bytes == 0) break;
   }
 }
@@ -148,12 +158,12 @@
   Reader reader(socket, Kind::request, bounds_);
   Request request;
   const auto due = [this](io::Nanos span) { return span > 0 ? loop_.now() + span : io::Loop::kNoTimer; };
-  bool first = true;
+  bool first = true, evicted = false;
   for (bool on = true; on && socket.is_open(); first = false) {
     request.body.clear();
     Fault fault{};
     {
-      Quiet quiet(*this, socket, due(first ? patience_.first : patience_.idle));
+      Quiet quiet(*this, socket, due(first ? patience_.first : patience_.idle), evicted);
       fault = co_await reader.head(request.head);
       if (!first) quiet.due = due(patience_.request);
       quiet.body = fault == Fault::none;
@@ -164,7 +174,7 @@
     }
     if (fault == Fault::closed) break;
     if (fault != Fault::none) {
-      co_await refuse(socket, fault);
+      co_await refuse(socket, fault, evicted);
       break;
     }
     request.came = loop_.now();
@@ -172,8 +182,10 @@
     co_await handler_(request, answer);
     if (!answer.begun() && socket.is_open()) answer.break_off();
     on = answer.keep_alive() && !stopping_;
+    if (answer.refuses()) co_await linger(socket, evicted);
   }
   socket.close();
+  evicted_ -= evicted;
   --open_;
   closed_.notify();
 }
--- a/http/server.h
+++ b/http/server.h
@@ -36,6 +36,9 @@
   bool broken() const { return broken_; }
   bool keep_alive() const { return keep_alive_; }
   void close_after() { keep_alive_ = false; }
+  // As that, where the client may still be sending what nobody will read.
+  void refuse_after() { keep_alive_ = false, refuses_ = true; }
+  bool refuses() const { return refuses_ && !broken_; }
 
  private:
   bool wrote(const io::Moved& moved);
@@ -44,6 +47,7 @@
   bool keep_alive_;
   bool begun_{};
   bool broken_{};
+  bool refuses_{};
 };
 
 // How long a client may take; 0: as long as it likes.
@@ -80,7 +84,7 @@
  private:
   io::Task<> accept();
   io::Task<> serve(io::Socket socket);
-  io::Task<> refuse(io::Socket& socket, Fault fault);
+  io::Task<> refuse(io::Socket& socket, Fault fault, bool& evicted);
 
   io::Loop& loop_;
   Handler handler_;
@@ -92,17 +96,23 @@
   io::Nanos accept_each_{};
   // A connection that carries no whole request, from its beginning or its last answer on. In the list by that time.
   struct Quiet : io::intrusive::list_base_hook<io::AutoUnlink> {
-    Quiet(Server& of, io::Socket& s, io::Nanos until) : server(of), socket(s), due(until) {
+    Quiet(Server& of, io::Socket& s, io::Nanos until, bool& e)
+        : server(of), socket(s), due(until), evicted(e) {
       server.quiet_.push_back(*this), ++server.quiet_count_;
+      if (server.open_ >= server.connections_) server.closed_.notify();  // it may make room
     }
     ~Quiet() { --server.quiet_count_; }
     Server& server;
     io::Socket& socket;
     io::Nanos due;
+    bool& evicted;
     bool body{};  // its head has been read: it is not closed to make room
   };
   io::Task<> end_overdue();
   void make_room();
+  // Closes after an answer that ends its connection, so that what the client still sends cannot take it with it.
+  io::Task<> linger(io::Socket& socket, bool& evicted);
+  std::size_t evicted_{};  // connections that were closed to make room, and have not ended yet
   void close_quiet();
   Patience patience_;
   std::size_t quiet_count_{};
--- a/router/host.cpp
+++ b/router/host.cpp
@@ -134,6 +134,8 @@
                                {"worker", fleet_.at(run.worker).listed.name},
                                {"stage", run.reads ? "read" : "write"},
                                {"outcome", word(input.outcome)},
+                               {"after_ms", (run.sent - ask.came) / io::kMs},
+                               {"first_ms", run.first > 0 ? (run.first - run.sent) / io::kMs : -1},
                                {"took_ms", (loop_.now() - run.sent) / io::kMs},
                                {"connection_stood_ms", run.stood < 0 ? -1 : run.stood / io::kMs},
                                {"kept", input.kept},
@@ -351,7 +353,7 @@
             end(ask, k, Outcome::cancelled);
             co_return false;
           }
-          ask.bound = k, run.begun = true;
+          ask.bound = k, run.begun = true, run.first = loop_.now();
           counters_.first_token(
               type_name(ask), static_cast<double>(loop_.now() - ask.came) / static_cast<double>(io::kSecond));
           put({Input::What::began, asks_[static_cast<std::size_t>(ask.seq)], k, {}, 0, {}, {}});
@@ -431,7 +433,7 @@
   Brief brief;
   auto read = protocol_.read(request, brief);
   if (const Reply* reply = std::get_if<Reply>(&read)) {
-    if (reply->refuses) counters_.refused(reply->status), answer.close_after();
+    if (reply->refuses) counters_.refused(reply->status), answer.refuse_after();
     co_await answer.whole(reply->status, reply->fields, reply->body);
     co_return;
   }
--- a/router/host.h
+++ b/router/host.h
@@ -54,6 +54,7 @@
     std::string state;   // of a read, as its answer named it
     io::Nanos sent{};
     io::Nanos deadline{};
+    io::Nanos first{};    // its first event; 0: none yet
     io::Nanos stood{-1};  // how long its connection had been kept unused; negative: a new one
     io::Nanos heard{};    // last bytes of its stream
     io::Scope scope;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -2,8 +2,12 @@
 // and clients, each failure brought about on handed time.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
 
 #include "io/signals.h"
+#include "rig/process.h"
 #include "site.h"
 
 namespace cressrill::testing {
@@ -442,6 +446,25 @@
   for (int i = 0; i < 300; ++i) CHECK(s.answer("flood" + std::to_string(i)).closed);
 }
 
+TEST_CASE("at the bound a connection that has become idle makes way, whoever waits") {
+  Site s(1, 1, small_settings(), 64);  // 28 for clients
+  s.worker("writer-0").events = 40;
+  for (int i = 0; i < 28; ++i) s.send("a" + std::to_string(i), Site::call("a" + std::to_string(i)));
+  s.pass(200);
+  s.send("late", Site::call("late"));
+  for (int i = 0; i < 28; ++i) CHECK(s.answer("a" + std::to_string(i)).status != 0);
+  CHECK(s.answer("late").status != 0);  // served, or refused for want of room at the workers
+  CHECK(s.answer("late").took < 4000 * kMs);
+}
+
+TEST_CASE("an answer that ends its connection survives what the client still sends") {
+  Site s(1, 1);
+  std::string text = Site::with({{"X-Call-Class", "chat"}});
+  s.send("a", text + std::string(500'000, 'z'));
+  CHECK(s.answer("a").status == 400);
+  CHECK(s.answer("a").whole);
+}
+
 // Discovery, new configurations, restarts.
 
 TEST_CASE("changes come by a watch right after each answer; a drain is kept") {
@@ -563,6 +586,77 @@
   CHECK(s.node->settled());
 }
 
+TEST_CASE("the program: SIGHUP with a bad file and a good one, SIGTERM with a stream in hand, exit 0") {
+  io::Loop loop;
+  States states;
+  Worker reader(loop, "reader-0", true, states), writer(loop, "writer-0", false, states);
+  writer.events = 60;
+  Agent first(loop), second(loop);
+  for (Agent* a : {&first, &second})
+    for (Worker* w : {&reader, &writer}) a->put(Site::target(*w));
+  std::string address;
+  {
+    io::Listener port(loop, kAnyPort);
+    address = port.address().text();
+  }
+  const std::string path = fmt::format("/tmp/cressrill-platform-{}.json", static_cast<const void*>(&loop));
+  const auto write = [&](const std::string& text) { std::ofstream(path) << text; };
+  json config = {{"name", "n0"},
+                 {"listen", address},
+                 {"discovery", first.server.address().text()},
+                 {"seed", "1"},
+                 {"limits", {{"cores", 1.0}, {"memory_mb", 64}, {"sockets", 256}}},
+                 {"settings", small_settings()}};
+  write(config.dump());
+  ::setenv("EDGE_CONFIG", path.c_str(), 1);
+  rig::Process router({ROUTER_PROGRAM, "--platform"}, path + ".log");
+  const auto until = [&](const std::function<bool()>& done) {
+    io::Scope scope(loop);
+    scope.spawn([](io::Loop& l) -> io::Task<> {
+      for (;;) co_await l.sleep_for(5 * kMs);
+    }(loop));
+    const io::Nanos last = loop.now() + 20 * io::kSecond;
+    loop.run_until([&] { return done() || loop.now() > last; });
+    return done();
+  };
+  const auto pool = std::make_shared<http::Pool>(loop, *io::parse_address(address));
+  std::string body;
+  int status = 0;
+  bool over = false;
+  io::Scope scope(loop);
+  scope.spawn([](io::Loop& l, std::shared_ptr<http::Pool> to, int& s) -> io::Task<> {
+    while (s != 200) {
+      const http::Exchange got = co_await http::exchange(to, http::request_text("GET", "/up", "h", "", ""));
+      s = got.head.status;
+      co_await l.sleep_for(10 * kMs);
+    }
+  }(loop, pool, status));
+  REQUIRE(until([&] { return status == 200 && first.calls.size() >= 2; }));
+  write("{ not json");
+  ::kill(router.pid(), SIGHUP);
+  config["discovery"] = second.server.address().text();
+  CHECK(until([&] {
+    std::ifstream log(path + ".log");
+    return std::string(std::istreambuf_iterator<char>(log), {}).find("configuration not taken") !=
+           std::string::npos;
+  }));
+  CHECK(second.calls.empty());
+  write(config.dump());
+  ::kill(router.pid(), SIGHUP);
+  CHECK(until([&] { return second.calls.size() >= 2; }));
+  scope.spawn([](std::shared_ptr<http::Pool> to, std::string& b, bool& done) -> io::Task<> {
+    http::Exchange got = co_await http::exchange(to, Site::call("a1"));
+    b = got.body, done = true;
+  }(pool, body, over));
+  CHECK(until([&] { return writer.open > 0; }));
+  router.terminate();
+  CHECK(until([&] { return over; }));
+  CHECK(body == whole_stream(60));
+  CHECK(until([&] { return !router.running(); }));
+  CHECK(router.status() == 0);
+  std::remove(path.c_str()), std::remove((path + ".log").c_str());
+}
+
 TEST_CASE("signals are told by their number, in the order in which they came") {
   io::Loop loop;
   io::Signals signals(loop, {SIGHUP, SIGUSR2});
