--- a/http/client.cpp
+++ b/http/client.cpp
@@ -125,7 +125,7 @@
     co_return out;
   }
   out.fault = co_await lease->reader->head(out.head);
-  out.fault == Fault::none ? lease.answered() : lease.lost();
+  out.fault == Fault::closed ? lease.lost() : lease.answered();
   if (out.fault == Fault::none) out.fault = co_await lease->reader->rest(out.body);
   if (out.fault == Fault::none && out.head.keep_alive) lease.keep();
   co_return out;
--- a/router/host.cpp
+++ b/router/host.cpp
@@ -279,7 +279,7 @@
     http::Fault fault{};
     for (int i = 0; i == 0 || (fault == http::Fault::none && head.status / 100 == 1 && i < kInformed); ++i)
       fault = co_await lease->reader->head(head);
-    fault == http::Fault::none ? lease.answered() : lease.lost();
+    fault == http::Fault::closed ? lease.lost() : lease.answered();  // what cannot be read came all the same
     if (fault != http::Fault::none) co_return end(*ask, k, lost(fault));
     const Report report = protocol_.load(head);
     if (run.reads || head.status != 200) {
