Whole-path tests share their port, time and chunks; a stand-in counts an open request once

tests/site.h had pass, kAnyPort and the framing of a chunk again beside tests/world.h and io_test: one piece in tests/loopback.h. Its two guards that corrected each other's count are one.

--- a/tests/io_test.cpp
+++ b/tests/io_test.cpp
@@ -7,6 +7,7 @@
 #include "http/client.h"
 #include "http/server.h"
 #include "io/timer_wheel.h"
+#include "loopback.h"
 
 namespace cressrill::testing {
 
@@ -14,8 +15,6 @@
 
 namespace {
 
-const io::Address kAnyPort{127u << 24 | 1, 0};
-
 struct Gone {  // tells that its coroutine's frame was destroyed
   bool& flag;
   ~Gone() { flag = true; }
--- a/tests/site.h
+++ b/tests/site.h
@@ -7,8 +7,8 @@
 
 #include <deque>
 #include <map>
-#include <set>
 
+#include "loopback.h"
 #include "platform/node.h"
 
 namespace cressrill::testing {
@@ -16,8 +16,6 @@
 using io::kMs;
 using nlohmann::json;
 
-inline const io::Address kAnyPort{127u << 24 | 1, 0};
-
 // What a worker does with a request, where it is not the usual.
 struct Act {
   enum class Then { keep, close, reset, hold };
@@ -75,13 +73,14 @@
       scope_.spawn(serve(std::move(s)));
     }
   }
-  static std::string chunk(std::string_view data) {
-    return std::string(http::ChunkLine(data.size()).text()).append(data).append("\r\n");
-  }
-  struct Open {
+  struct Open {  // counted until it is answered or its peer leaves
     explicit Open(int& n) : count(n) { ++count; }
-    ~Open() { --count; }
+    ~Open() { end(); }
+    void end() {
+      if (std::exchange(counted, false)) --count;
+    }
     int& count;
+    bool counted{true};
   };
   io::Task<> serve(io::Socket s) {
     http::Reader reader(s, http::Kind::request);
@@ -103,16 +102,10 @@
       texts.push_back(body);
       Open in_hand(open);
       io::Scope watch(loop_);
-      bool left = false;
-      watch.spawn([](io::Socket& to, bool& gone, Worker& w) -> io::Task<> {
+      watch.spawn([](io::Socket& to, Open& request) -> io::Task<> {
         co_await to.peer_gone();
-        if (!gone) gone = true, --w.open;
-      }(s, left, *this));
-      struct Back {  // a peer that left was counted off already
-        bool& gone;
-        int& count;
-        ~Back() { count += gone; }
-      } back{left, open};
+        request.end();
+      }(s, in_hand));
       Act act{"", Act::Then::keep, 0, true};
       if (!acts.empty()) act = acts.front(), acts.pop_front();
       if (act.after > 0) co_await loop_.sleep_for(act.after);
@@ -148,10 +141,10 @@
     }
     co_await s.write_all(stream_head());
     for (int i = 0; i < events; ++i) {
-      co_await s.write_all(chunk(event(i)));
+      co_await s.write_all(framed(event(i)));
       co_await loop_.sleep_for(20 * kMs);
     }
-    co_await s.write_all(chunk(ending()) + chunk(": X-Load-Report: concurrent=2,x0=0.3\n\n") + "0\r\n\r\n");
+    co_await s.write_all(framed(ending()) + framed(": X-Load-Report: concurrent=2,x0=0.3\n\n") + "0\r\n\r\n");
   }
 
  public:
@@ -165,7 +158,11 @@
     return "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":100,\"completion_tokens\":3,"
            "\"prompt_tokens_details\":{\"cached_tokens\":96}}}\n\ndata: [DONE]\n\n";
   }
-  static std::string framed(std::string_view data) { return chunk(data); }
+  static std::string framed(std::string_view data) {
+    std::string out;
+    append_chunk(out, data);
+    return out;
+  }
 
  private:
   io::Scope scope_;
@@ -287,15 +284,7 @@
       if (w->name == name) return *w;
     throw std::invalid_argument(name);
   }
-  void pass(std::int64_t ms) {
-    bool over = false;
-    io::Scope timer(loop);
-    timer.spawn([](io::Loop& l, io::Nanos until, bool& o) -> io::Task<> {
-      co_await l.sleep_until(until);
-      o = true;
-    }(loop, loop.now() + ms * kMs, over));
-    loop.run_until([&] { return over; });
-  }
+  void pass(std::int64_t ms) { testing::pass(loop, ms); }
 
   static std::string prompt(int words = 100) {
     std::string text;
--- a/tests/world.h
+++ b/tests/world.h
@@ -12,6 +12,7 @@
 #include <set>
 #include <sstream>
 
+#include "loopback.h"
 #include "rig/client.h"
 #include "rig/fleet_file.h"
 #include "rig/roster.h"
@@ -23,12 +24,6 @@
 using rig::Engine;
 using rig::EngineMake;
 
-inline const io::Address kAnyPort{127u << 24 | 1, 0};
-
-inline void append_chunk(std::string& to, std::string_view data) {
-  to.append(http::ChunkLine(data.size()).text()).append(data).append(http::kChunkEnd);
-}
-
 // The text compared with the kept one; CRESSRILL_TRACES=write writes it anew.
 inline void compare_trace(const std::string& name, const std::string& text) {
   const std::string path = std::string(TRACE_DIR) + "/" + name + ".txt";
@@ -139,15 +134,7 @@
       if (e->make().name == name) return *e;
     throw std::invalid_argument(name);
   }
-  void pass(std::int64_t ms) {
-    bool over = false;
-    io::Scope timer(loop);
-    timer.spawn([](io::Loop& l, io::Nanos until, bool& o) -> io::Task<> {
-      co_await l.sleep_until(until);
-      o = true;
-    }(loop, loop.now() + ms * io::kMs, over));
-    loop.run_until([&] { return over; });
-  }
+  void pass(std::int64_t ms) { testing::pass(loop, ms); }
   void settle() { pass(1); }
   // Runs until a line of that event was noted, count times in all.
   void until_noted(const std::string& event, std::size_t count = 1) {
