--- a/http/server.cpp
+++ b/http/server.cpp
@@ -9,8 +9,7 @@
 
 namespace {
 constexpr io::Nanos kLook = 100 * io::kMs;  // clients that are too slow are looked for this often
-constexpr io::Nanos kLinger =
-    io::kSecond;  // for what a client still sends after an answer that ends its connection
+constexpr io::Nanos kLinger = io::kSecond;  // for what still comes after an answer that ends its connection
 }  // namespace
 
 bool Answer::wrote(const io::Moved& moved) {
@@ -59,25 +58,27 @@
   acceptor_.spawn(accept());
 }
 
+// Each ends by itself, as what it waits to read fails.
+template <class Which>
+void Server::close_quiet(Which which) {
+  for (auto it = quiet_.begin(); it != quiet_.end();) {
+    Quiet& q = *it++;
+    if (!which(q)) continue;
+    quiet_.erase(quiet_.iterator_to(q));
+    q.socket.close();
+  }
+}
+
 void Server::stop_accepting() {
   stopping_ = true;
   acceptor_.cancel();
   listener_.close();
-  close_quiet();
+  close_quiet(Quiet::between_requests);
 }
 
 void Server::wind_down() {
   stopping_ = true;
-  close_quiet();
-}
-
-void Server::close_quiet() {
-  for (auto it = quiet_.begin(); it != quiet_.end();) {
-    Quiet& q = *it++;
-    if (q.body) continue;
-    quiet_.erase(quiet_.iterator_to(q));
-    q.socket.close();
-  }
+  close_quiet(Quiet::between_requests);
 }
 
 void Server::be_patient(Patience patience) {
@@ -88,24 +89,19 @@
 io::Task<> Server::end_overdue() {
   for (;;) {
     co_await loop_.sleep_for(kLook);
-    for (auto it = quiet_.begin(); it != quiet_.end();) {
-      Quiet& q = *it++;
-      if (q.due > loop_.now()) continue;
-      quiet_.erase(quiet_.iterator_to(q));
-      q.socket.close();
-    }
+    close_quiet([this](const Quiet& q) { return q.due <= loop_.now(); });
   }
 }
 
 // At the bound the connection that has been quiet longest makes way.
 void Server::make_room() {
   if (patience_.idle == 0) return;
-  for (Quiet& q : quiet_) {
-    if (q.body) continue;
-    quiet_.erase(quiet_.iterator_to(q));
-    q.evicted = true, ++evicted_;
-    return q.socket.close();
-  }
+  const auto longest = std::ranges::find_if(quiet_, Quiet::between_requests);
+  if (longest == quiet_.end()) return;
+  longest->evicted = true, ++evicted_;
+  io::Socket& socket = longest->socket;
+  quiet_.erase(longest);
+  socket.close();
 }
 
 void Server::accept_slowly(io::Nanos each) {
--- a/http/server.h
+++ b/http/server.h
@@ -106,6 +106,7 @@
     io::Socket& socket;
     io::Nanos due;
     bool& evicted;
+    static bool between_requests(const Quiet& q) { return !q.body; }
     bool body{};  // its head has been read: it is not closed to make room
   };
   io::Task<> end_overdue();
@@ -113,7 +114,8 @@
   // Closes after an answer that ends its connection, so that what the client still sends cannot take it with it.
   io::Task<> linger(io::Socket& socket, bool& evicted);
   std::size_t evicted_{};  // connections that were closed to make room, and have not ended yet
-  void close_quiet();
+  template <class Which>
+  void close_quiet(Which which);
   Patience patience_;
   std::size_t quiet_count_{};
   io::intrusive::list<Quiet, io::intrusive::constant_time_size<false>> quiet_;
