--- a/router/host.cpp
+++ b/router/host.cpp
@@ -25,6 +25,12 @@
 
 }  // namespace
 
+const char* word(Final final) {
+  static constexpr const char* words[] = {"none",    "generated", "rejected",
+                                          "aborted", "broken",    "engine_refused"};
+  return words[static_cast<int>(final)];
+}
+
 Host::Host(io::Loop& loop, const core::Station& station, core::Log& log, core::Counters& counters,
            Protocol& protocol, std::uint64_t seed, const MakePolicy& make)
     : loop_(loop),
--- a/router/openai.cpp
+++ b/router/openai.cpp
@@ -27,12 +27,6 @@
 
 }  // namespace
 
-const char* word(Final final) {
-  static constexpr const char* words[] = {"none",    "generated", "rejected",
-                                          "aborted", "broken",    "engine_refused"};
-  return words[static_cast<int>(final)];
-}
-
 class OpenAi::Sequence final : public Talk {
  public:
   Sequence(OpenAi& of, core::Facts facts, std::string id, std::string engine_fields)
