A message's head is remembered whole in whatever pieces it comes

Ruled out: spoilt answers (a fault, not a status), 1xx answers (their status is kept). Cause: Beast reads the first line of a head, and each field, as soon as they are whole. Reader::head() in http/message.cpp emptied the Head before each piece (to.reset() in its loop): of a head in pieces only the last one was remembered, on either side: requests lost their method and path, answers their status. Change: emptied once; more room for text leaves in place what was kept. A trailer that came with its head was taken for fields of the head: fields end with the head.

--- a/http/message.cpp
+++ b/http/message.cpp
@@ -20,11 +20,17 @@
   return std::nullopt;
 }
 
-void Head::reset(std::size_t bytes) {
+void Head::reset() {
   method = target = {};
   status = 0, keep_alive = false;
-  fields.clear(), text_.clear();
-  text_.reserve(bytes);
+  fields.clear(), text_.clear(), filled_.clear();
+}
+
+void Head::make_room(std::size_t bytes) {
+  if (text_.capacity() - text_.size() >= bytes) return;
+  const std::size_t room = std::max(bytes, 2 * text_.capacity());
+  if (!text_.empty()) filled_.push_back(std::exchange(text_, {}));
+  text_.reserve(room);
 }
 
 std::string_view Head::keep(std::string_view text, bool lower) {
@@ -105,7 +111,7 @@
       error = bh::error::bad_transfer_encoding;
     head.fields.emplace_back(key, head.keep(std_view(value)));
   }
-  void on_header_impl(Error&) override {}
+  void on_header_impl(Error&) override { to_.head = nullptr; }  // fields from here on are a trailer's
   void on_body_init_impl(boost::optional<std::uint64_t> const&, Error&) override {}
   std::size_t on_body_impl(beast::string_view data, Error&) override {
     to_.pieces.push_back(std_view(data));
@@ -209,10 +215,12 @@
   Parts& p = *parts_;
   p.fresh(&to);
   if (p.used == p.size && p.room > kSmall) p.buffer.reset(), p.room = p.used = p.size = 0;
+  to.reset();
   for (;;) {
     Error error;
-    // Beast reads a head once it is whole: no more text than is in hand will be kept.
-    to.reset(p.size - p.used);
+    // A head that comes in pieces: Beast reads its first line, and each field, as soon as they are whole. What was
+    // kept of them has to outlive the next piece. No more text than is in hand is kept of one.
+    to.make_room(p.size - p.used);
     p.feed(error);
     if (error) co_return fault_of(error);
     if (p.sink->head_done()) break;
@@ -221,7 +229,6 @@
     if (fault != Fault::none) co_return fault;
   }
   to.keep_alive = p.sink->keep_alive();
-  p.target.head = nullptr;
   co_return Fault::none;
 }
 
--- a/http/message.h
+++ b/http/message.h
@@ -35,12 +35,15 @@
 
   // The first field of that name (lower case), or nothing.
   std::optional<std::string_view> field(std::string_view name) const;
-  // Empty again, with its room kept; room for so many bytes of text.
-  void reset(std::size_t bytes);
+  // Empty again, with its room kept.
+  void reset();
+  // Room for so many more bytes of text; what was kept stays where it is.
+  void make_room(std::size_t bytes);
   std::string_view keep(std::string_view text, bool lower = false);
 
  private:
   std::vector<char> text_;  // not a string: a vector's bytes stay in place when it moves
+  std::vector<std::vector<char>> filled_;  // of a head that came in pieces: its earlier text
 };
 
 // How a message came to its end.
--- a/tests/io_test.cpp
+++ b/tests/io_test.cpp
@@ -302,6 +302,68 @@
   CHECK(targets == "/one b;/two b;/three b;");
 }
 
+// Guards against heads of which only the last piece is remembered.
+TEST_CASE("messages are read the same in whatever pieces they come") {
+  const std::string request =
+      "POST /v1/chat?x=1 HTTP/1.1\r\nHost: h\r\nX-Call-Id: 9b1f\r\nX-Empty:\r\nContent-Length: 5\r\n\r\nhello";
+  const std::string chunked =
+      "HTTP/1.1 202 Accepted\r\nX-Load-Report: a=1\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "2\r\nhe\r\n3;ext=1\r\nllo\r\n0\r\nTrailer: t\r\n\r\n";
+  struct Case {
+    http::Kind kind;
+    const std::string& text;
+    const char* expected;
+  };
+  const Case cases[] = {
+      {http::Kind::request, request,
+       "POST /v1/chat?x=1 0 host=h x-call-id=9b1f x-empty= content-length=5 | hello"},
+      {http::Kind::response, chunked, "  202 x-load-report=a=1 transfer-encoding=chunked | hello"},
+  };
+  // One connection for each: the text is cut into pieces of that size, the first of them so much shorter.
+  const auto read = [](const Case& c, std::size_t size, std::size_t shorter) {
+    io::Loop loop(io::Loop::Time::handed);
+    io::Listener listener(loop, kAnyPort);
+    std::string got;
+    io::Scope scope(loop);
+    scope.spawn([](io::Loop& l, io::Address at, std::string_view text, std::size_t each,
+                   std::size_t less) -> io::Task<> {
+      io::Socket socket;
+      co_await io::connect(l, at, socket);
+      // Twice: what is left of a message must not get into the next.
+      for (int i = 0; i < 2; ++i)
+        for (std::size_t from = 0, to = each - less; from < text.size(); from = to, to += each) {
+          co_await socket.write_all(text.substr(from, to - from));
+          co_await l.sleep_for(kMs);
+        }
+    }(loop, listener.address(), c.text, size, shorter));
+    scope.spawn([](io::Listener& from, http::Kind kind, std::string& to) -> io::Task<> {
+      io::Socket socket = co_await from.accept();
+      http::Reader reader(socket, kind);
+      for (int i = 0; i < 2; ++i) {
+        http::Head head;
+        std::string body;
+        if (const auto fault = co_await reader.head(head); fault != http::Fault::none)
+          co_return void(to += http::word(fault));
+        to += std::string(head.method) + " " + std::string(head.target) + " " + std::to_string(head.status);
+        co_await reader.rest(body);
+        for (const auto& [name, value] : head.fields)
+          to.append(" ").append(name).append("=").append(value);
+        to += " | " + body + "\n";
+      }
+    }(listener, c.kind, got));
+    loop.run_until([&] { return scope.empty(); });
+    return got;
+  };
+  for (const Case& c : cases) {
+    const std::string twice = std::string(c.expected) + "\n" + c.expected + "\n";
+    for (std::size_t size = 1; size <= c.text.size(); ++size) {
+      CAPTURE(size);
+      REQUIRE(read(c, size, 0) == twice);
+      REQUIRE(read(c, size, size / 2) == twice);
+    }
+  }
+}
+
 TEST_CASE("a stream may be of any length; what is kept whole is bounded") {
   io::Loop loop(io::Loop::Time::handed);
   constexpr std::size_t kParts = 300, kPart = 40'000;
