A stream that stands still is seen from its first event on, and by whole events

Its log at n4: attempt 5, the last that is allowed, "stage":"write","outcome":"cancelled","after_ms":1350,"first_ms":66,"took_ms":5414, ended by "client left". Ruled out: an answer held back by us (its outbox was empty), a lost end (no end ever came). Cause: out_of_time() in router/host.cpp slept to the attempt's deadline before it looked whether the stream stands still. The last attempt has no time-out of its own, so that was the client's whole time, 12 s. And stream() took any bytes for life, so that half a line restarted the 4.5 s. Change: a watch of its own from the first event on, counted from the last whole event. Tests: both attempts, streams that end in half a line late; failed before (6.0 s).

--- a/router/host.cpp
+++ b/router/host.cpp
@@ -256,8 +256,13 @@
 io::Task<> Host::out_of_time(std::shared_ptr<Ask> ask, int k) {
   const Run& run = *ask->runs[static_cast<std::size_t>(k)];
   co_await loop_.sleep_until(run.deadline);
-  if (!run.begun) co_return end(*ask, k, Outcome::timed_out);
-  // A stream has no deadline, but one that stands still has broken: its engine hangs, or its client reads nothing.
+  if (!run.begun) end(*ask, k, Outcome::timed_out);
+}
+
+// A stream has no deadline, but one that stands still has broken: its engine hangs, or its client reads nothing. Watched
+// from its first event on: the attempt's own deadline may be far off.
+io::Task<> Host::out_of_life(std::shared_ptr<Ask> ask, int k) {
+  const Run& run = *ask->runs[static_cast<std::size_t>(k)];
   while (loop_.now() - run.heard < station_.stall) co_await loop_.sleep_until(run.heard + station_.stall);
   end(*ask, k, Outcome::connection_lost);
 }
@@ -343,10 +348,11 @@
   while (connection.reader->more()) {
     std::span<const std::string_view> pieces;
     fault = co_await connection.reader->pieces(pieces);
-    run.heard = loop_.now();
     for (const std::string_view piece : pieces) {
       events.feed(piece);
       while (const auto data = events.next()) {
+        // An event, not any byte: half a line and then nothing is a stream that stands still.
+        run.heard = loop_.now();
         const Heard heard = ask.talk->hear(*data, run.begun);
         if (!heard.readable || ask.talk->kept_bytes() > kWhole) {
           end(ask, k, Outcome::error, 0, report);
@@ -360,6 +366,7 @@
             co_return false;
           }
           ask.bound = k, run.begun = true, run.first = loop_.now();
+          run.scope.spawn(out_of_life(asks_[static_cast<std::size_t>(ask.seq)], k));
           counters_.first_token(
               type_name(ask), static_cast<double>(loop_.now() - ask.came) / static_cast<double>(io::kSecond));
           put({Input::What::began, asks_[static_cast<std::size_t>(ask.seq)], k, {}, 0, {}, {}});
--- a/router/host.h
+++ b/router/host.h
@@ -56,7 +56,7 @@
     io::Nanos deadline{};
     io::Nanos first{};    // its first event; 0: none yet
     io::Nanos stood{-1};  // how long its connection had been kept unused; negative: a new one
-    io::Nanos heard{};    // last bytes of its stream
+    io::Nanos heard{};    // last whole event of its stream
     io::Scope scope;
   };
   // State of one sequence.
@@ -115,6 +115,7 @@
   Try described(const Ask& ask, int k) const;
   io::Task<io::Moved> send_to(Ask& ask, int k, http::Connection& connection);
   io::Task<> out_of_time(std::shared_ptr<Ask> ask, int k);
+  io::Task<> out_of_life(std::shared_ptr<Ask> ask, int k);
   void answered(Ask& ask, int k, const http::Head& head, std::string body, const Report& report);
   io::Task<bool> stream(Ask& ask, int k, http::Connection& connection, const Report& report);
   void release(Ask& ask, int k);
--- a/tests/io_test.cpp
+++ b/tests/io_test.cpp
@@ -305,7 +305,8 @@
 // Guards against heads of which only the last piece is remembered.
 TEST_CASE("messages are read the same in whatever pieces they come") {
   const std::string request =
-      "POST /v1/chat?x=1 HTTP/1.1\r\nHost: h\r\nX-Call-Id: 9b1f\r\nX-Empty:\r\nContent-Length: 5\r\n\r\nhello";
+      "POST /v1/chat?x=1 HTTP/1.1\r\nHost: h\r\nX-Call-Id: 9b1f\r\nX-Empty:\r\nContent-Length: "
+      "5\r\n\r\nhello";
   const std::string chunked =
       "HTTP/1.1 202 Accepted\r\nX-Load-Report: a=1\r\nTransfer-Encoding: chunked\r\n\r\n"
       "2\r\nhe\r\n3;ext=1\r\nllo\r\n0\r\nTrailer: t\r\n\r\n";
@@ -346,8 +347,7 @@
           co_return void(to += http::word(fault));
         to += std::string(head.method) + " " + std::string(head.target) + " " + std::to_string(head.status);
         co_await reader.rest(body);
-        for (const auto& [name, value] : head.fields)
-          to.append(" ").append(name).append("=").append(value);
+        for (const auto& [name, value] : head.fields) to.append(" ").append(name).append("=").append(value);
         to += " | " + body + "\n";
       }
     }(listener, c.kind, got));
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -20,7 +20,9 @@
   return out + Worker::ending();
 }
 std::string begun();
-Act spoilt(std::string later) { return {begun(), Act::Then::hold, 0, false, false, std::move(later)}; }
+Act spoilt(std::string later, io::Nanos behind = 50 * kMs) {
+  return {begun(), Act::Then::hold, 0, false, false, std::move(later), behind};
+}
 std::string begun() { return Worker::stream_head() + Worker::framed(Worker::event(0)); }
 
 }  // namespace
@@ -172,22 +174,29 @@
       {"broken", {begun(), Act::Then::reset}},
       {"ended", {begun(), Act::Then::close}},
       {"silent", {begun(), Act::Then::hold}},
+      {"half a line late, then silent", spoilt(Worker::framed("data: {\"choi"), 1500 * kMs)},
+      {"half a chunk late, then silent", spoilt("400\r\ndata: {\"choices\":", 1500 * kMs)},
   };
-  for (const auto& [what, act] : cases) {
-    CAPTURE(std::string(what));
-    Site s(1, 1);
-    s.worker("writer-0").acts = {act};
-    s.send("a", Site::call("a1"));
-    const Got& got = s.answer("a");
-    CHECK(got.status == 200);
-    CHECK_FALSE(got.whole);
-    CHECK(got.body.starts_with(Worker::event(0)));
-    CHECK(got.body.find("error") == std::string::npos);
-    CHECK(got.took < 5000 * kMs);
-    CHECK(s.lines("POST") == 2);
-    s.pass(100);
-    CHECK(s.node->host().live() == 0);
-  }
+  // Whether a time-out of its own or, as the last attempt has none, only the client's time bounds the attempt.
+  for (const int attempts : {6, 2})
+    for (const auto& [what, act] : cases) {
+      CAPTURE(std::string(what));
+      CAPTURE(attempts);
+      json settings = small_settings();
+      settings["caps"]["attemptsCap"] = attempts;
+      Site s(1, 1, settings);
+      s.worker("writer-0").acts = {act};
+      s.send("a", Site::call("a1", Site::prompt(), "60000"));
+      const Got& got = s.answer("a");
+      CHECK(got.status == 200);
+      CHECK_FALSE(got.whole);
+      CHECK(got.body.starts_with(Worker::event(0)));
+      CHECK(got.body.find("error") == std::string::npos);
+      CHECK(got.took < 5000 * kMs);
+      CHECK(s.lines("POST") == 2);
+      s.pass(100);
+      CHECK(s.node->host().live() == 0);
+    }
 }
 
 TEST_CASE("good answers with more than belongs to them: 1xx ahead, a second answer behind") {
--- a/tests/site.h
+++ b/tests/site.h
@@ -24,7 +24,8 @@
   io::Nanos after{};    // waits so long first
   bool usual{};         // after that wait, answers as usual
   bool leaves{};        // a state stays here before that
-  std::string later{};  // sent 50 ms behind the text
+  std::string later{};  // sent so long behind the text:
+  io::Nanos behind{50 * kMs};
 };
 
 // States that readers hold, by the id of their request: who holds them.
@@ -119,7 +120,7 @@
       if (act.leaves) states_[id] = name;
       co_await s.write_all(act.text);
       if (!act.later.empty()) {
-        co_await loop_.sleep_for(50 * kMs);
+        co_await loop_.sleep_for(act.behind);
         co_await s.write_all(act.later);
       }
       if (act.then == Act::Then::hold) co_await loop_.sleep_for(600 * io::kSecond);
