What a worker finds fault with is refused to its client after one attempt

Cause: platform/codec.cpp answered() took 400 and 404 for an error of the worker, so each such request was tried up to six times and cost sound workers strikes. It is passed on unchanged, so the fault is the client's. Test: fifty such requests on one connection; one attempt, a 400, a close, and the worker serves the next at once.

--- a/router/host.cpp
+++ b/router/host.cpp
@@ -511,6 +511,7 @@
   const bool late = loop_.now() + station_.deployment.tick * 4 >= ask.abandon_at;
   const Closing closing = ask.talk->close(ask.final, late, ask.retry_after);
   if (!begun && !closing.streams) {
+    if (closing.reply.refuses) answer.close_after();
     co_await answer.whole(closing.reply.status, closing.reply.fields, closing.reply.body);
     co_return;
   }
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -323,6 +323,28 @@
 
 // What bad clients send.
 
+// Guards against clients whose requests no worker takes: each would be tried everywhere, and take sound workers away.
+TEST_CASE("a request that a worker finds fault with: one attempt, a 4xx and a close; the worker is sound") {
+  for (const int status : {400, 404}) {
+    CAPTURE(status);
+    Site s(1, 1);
+    s.worker("reader-0").acts = std::deque<Act>(20, {http::response_text(status, "", "", true)});
+    std::string many;
+    for (int i = 0; i < 50; ++i) many += Site::call("m" + std::to_string(i));
+    s.send("many", many, 0, 50);
+    s.answer("many");
+    CHECK(s.all["many"][0].status == 400);
+    CHECK(s.all["many"][1].status == 0);
+    CHECK(s.lines("POST") == 1);
+    s.send("a", Site::call("a1"));
+    CHECK(s.answer("a").status == 400);
+    s.worker("reader-0").acts.clear();
+    s.send("b", Site::call("b1"));
+    CHECK(s.answer("b").whole);
+    CHECK(s.answer("b").took < 200 * kMs);
+  }
+}
+
 TEST_CASE("what cannot be taken gets one 4xx and a close, and no worker hears of it") {
   using F = std::vector<std::pair<std::string, std::string>>;
   const F good = {{"X-Call-Id", "z1"},
