Slow start acts on sockets; failed connections leave the time of a state running

Found by count, not by a broken rule: over 1, 3, 30 and 300 policies the sum that a cold worker got was the same with the guard of rule 4 and without it (burst of 3: 22 requests past N + 2 sqrt(N) + 2). src/policy.cpp cold_turn() drew by 0.618034 * double(identity): of a 64-bit hash, as sockets give it, a double keeps no fraction, so every worker's turn was everybody's. Now the identity's hash is added.

The protocol lets the time run while connections fail to come up; attempt_ended() restarted it at each. It no longer does; an attempt that is cancelled before its first byte is told as not sent; releases go to the next worker after 25 ms beside one that is silent, those heard of last first (router/host.cpp release_all()). Ruled out: a release that was not sent or not heard (sent 0.5 s after the third failure, readers answered).

--- a/router/fleet.h
+++ b/router/fleet.h
@@ -21,6 +21,7 @@
   int cell{};
   std::uint64_t identity{};
   io::Nanos not_ready_since{};       // told that it drains or is gone; 0: it is ready
+  io::Nanos heard{};                 // an attempt's answer came last
   std::shared_ptr<http::Pool> pool;  // attempts that are out keep an old address's pool alive
 };
 
--- a/router/host.cpp
+++ b/router/host.cpp
@@ -1,6 +1,7 @@
 #include "host.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace cressrill::router {
 
@@ -187,7 +188,7 @@
 void Host::cancel(int seq, int attempt) {
   Ask& ask = *asks_[static_cast<std::size_t>(seq)];
   const Run& run = *ask.runs[static_cast<std::size_t>(attempt)];
-  if (!run.begun) end(ask, attempt, Outcome::cancelled);
+  if (!run.begun) end(ask, attempt, run.written ? Outcome::cancelled : Outcome::not_sent);
 }
 
 void Host::reject(int seq, Nanos retry_after) {
@@ -280,6 +281,7 @@
       co_return end(*ask, k, Outcome::not_sent);
     // Nothing begins for a client that left, or was answered, while the connection was being made.
     if (ask->client_left || ask->final != Final::none) co_return end(*ask, k, Outcome::not_sent);
+    run.written = true;
     const io::Moved moved = co_await send_to(*ask, k, *lease);
     if (!moved.ok()) {
       // Nothing left this machine: a kept connection was stale, and another is made. Else it may be running.
@@ -292,6 +294,7 @@
     http::Fault fault{};
     for (int i = 0; i == 0 || (fault == http::Fault::none && head.status / 100 == 1 && i < kInformed); ++i)
       fault = co_await lease->reader->head(head);
+    if (fault != http::Fault::closed) link.heard = loop_.now();
     fault == http::Fault::closed ? lease.lost() : lease.answered();  // what cannot be read came all the same
     if (fault != http::Fault::none) co_return end(*ask, k, lost(fault));
     const Report report = protocol_.load(head);
@@ -412,23 +415,31 @@
   errands_.spawn(release_at(link.pool, ask.talk->release(k, link.listed.address)));
 }
 
-// Tells one worker after another, the last reader first, until one has heard it. Once another attempt is out it is
-// left to the next release: a late one could take the state of a newer read.
+// Tells one worker after another until one has heard it: the last reader first, then those that were heard of last. Guards
+// rule 5 where most workers are silent: a call that is not answered soon stays open, and the next worker is told beside
+// it. Once another attempt is out it is left to the next release: a late one could take the state of a newer read.
 io::Task<> Host::release_all(std::shared_ptr<Ask> ask, std::size_t attempts) {
-  std::vector<int> order;
-  for (std::size_t k = ask->runs.size(); k-- > 0;)
-    if (ask->runs[k]->reads) order.push_back(ask->runs[k]->worker);
-  for (const int w : fleet_.ready())
-    if (std::ranges::find(order, w) == order.end()) order.push_back(w);
-  const io::Nanos until = loop_.now() + station_.deployment.pin_limit;
-  for (const int w : order) {
-    if (ask->runs.size() != attempts || loop_.now() >= until) co_return;
-    const Link* link = fleet_.find(w);
-    if (link == nullptr) continue;
-    const auto told =
-        co_await io::within(loop_, loop_.now() + station_.deployment.pin_limit / 8,
-                            http::exchange(link->pool, ask->talk->release(0, link->listed.address)));
-    if (told && told->ok()) co_return;
+  const io::Nanos limit = station_.deployment.pin_limit, until = loop_.now() + limit;
+  std::vector<int> order = fleet_.ready();
+  std::ranges::stable_sort(order, std::greater{}, [&](int w) { return fleet_.at(w).heard; });
+  for (const auto& run : ask->runs)
+    if (run->reads) std::erase(order, run->worker), order.insert(order.begin(), run->worker);
+  if (order.empty()) co_return;
+  bool heard = false;
+  io::Signal news(loop_);
+  io::Scope calls(loop_);
+  for (std::size_t i = 0; !heard && ask->runs.size() == attempts && loop_.now() < until; ++i) {
+    const io::Nanos next = loop_.now() + limit / 40;
+    if (const Link* link = i < order.size() * 4 ? fleet_.find(order[i % order.size()]) : nullptr)
+      calls.spawn(
+          [](std::shared_ptr<http::Pool> pool, std::string text, bool& ok, io::Signal& told) -> io::Task<> {
+            ok |= (co_await http::exchange(std::move(pool), std::move(text))).ok();
+            told.notify();
+          }(link->pool, ask->talk->release(0, link->listed.address), heard, news));
+    co_await io::within(loop_, next, [](io::Signal& s) -> io::Task<bool> {
+      co_await s.wait();
+      co_return true;
+    }(news));
   }
 }
 
--- a/router/host.h
+++ b/router/host.h
@@ -48,6 +48,7 @@
     bool reads;
     bool out{true};      // the decisions have not been told of its end
     bool ended{};        // its end is in the queue, or told
+    bool written{};      // some of its request may have left
     bool begun{};        // its stream flows
     bool holds_state{};  // a read whose state waits at the reader
     int takes{-1};       // a write: the read whose state it fetches
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -176,7 +176,9 @@
     if (outcome == Outcome::timed_out && !silent) cut_limit();
     if (closed) finish(q);
     if (q.stage != Stage::over && !a.given_up) go_back(q, a, outcome);
-    if (q.pinned_since != kNever) q.pinned_since = now;
+    // Rule 5: while connections fail to come up, the time that a state may wait keeps running.
+    const bool reached = outcome != Outcome::connect_failed && outcome != Outcome::not_sent;
+    if (q.pinned_since != kNever && reached) q.pinned_since = now;
     run();
   }
 
@@ -385,7 +387,8 @@
     return std::min(1.0, kColdCare * d_.fall_multiple * capacity) * answers / (warm > 0 ? warm : all);
   }
   bool cold_turn(const Sequence& q, const Worker& w) const {
-    const double drawn = q.luck + 0.618034 * static_cast<double>(q.attempts.size() + w.identity);
+    // By its hash, as an identity of 64 bits leaves a double no fraction: the guard would let all through.
+    const double drawn = q.luck + 0.618034 * static_cast<double>(q.attempts.size()) + mixed(0, w);
     return drawn - std::floor(drawn) < cold_part(w);
   }
 
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -213,6 +213,19 @@
   t.until(600);
 }
 
+TEST_CASE(
+    "a state whose writers cannot be reached is let go of in time: failed connections do not restart its "
+    "time") {
+  Deployment d = small_deployment();
+  d.pin_limit = 1000 * kMs;
+  Trace t("pinned_unreached", d, 1, 3);
+  t.read(0, 0, 3000, 50);
+  for (int attempt = 1; attempt <= 2; ++attempt) {
+    t.until(t.now_ms() + 250);
+    t.ended(0, attempt, Outcome::connect_failed);
+  }
+}
+
 TEST_CASE("full writers hold reads back, and a line that stands too long is answered at once") {
   Trace t("writers_full", small_deployment(), 1, 1);
   for (int seq = 0; seq < 5; ++seq) t.came(seq, 0, 30000);
