--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -267,6 +267,21 @@
   CHECK(s.worker("writer-0").seen.back() == "DELETE a1");
 }
 
+// Guards rule 5 where most workers are silent: told one after the other, the one that hears would be told too late.
+TEST_CASE("a state is let go of in time though all readers have fallen silent") {
+  Site s(12, 1);
+  s.worker("writer-0").acts = std::deque<Act>(
+      20, {http::response_text(503, "X-Rejected: 1\r\n", "", true), Act::Then::keep, 30 * kMs});
+  s.send("a", Site::call("a1"));
+  s.loop.run_until([&] { return !s.states.empty(); });
+  const io::Nanos held = s.loop.now();
+  for (auto& w : s.workers) w->silent = w->reads;
+  s.loop.run_until([&] { return s.states.empty() || s.loop.now() - held > 3000 * kMs; });
+  CHECK(s.states.empty());
+  CHECK(s.loop.now() - held <= 1000 * kMs);
+  CHECK(s.answer("a").status == 503);
+}
+
 TEST_CASE("a client that leaves: its attempts end, what is held is let go of, nothing more is sent") {
   SUBCASE("during the read") {
     Site s(1, 1);
--- a/tests/site.h
+++ b/tests/site.h
@@ -57,6 +57,7 @@
   std::vector<std::string> texts;  // of those that are no release: body
   int open{};                      // requests that came and whose connection is neither answered nor ended
   int connections{};
+  bool silent{};  // what comes is taken, and nothing is done
 
  private:
   io::Loop& loop_;
@@ -91,6 +92,7 @@
       if (co_await reader.head(head) != http::Fault::none) co_return;
       if (co_await reader.rest(body) != http::Fault::none) co_return;
       const std::string target(head.target);
+      if (silent) co_await loop_.sleep_for(600 * io::kSecond);
       if (head.method == "DELETE") {
         const std::string id = target.substr(target.rfind('/') + 1);
         seen.push_back("DELETE " + id);
