A wait for a signal is written once; quiet connections are judged in one pass

Answer::cut() had become close_after(). close_quiet() asks once what becomes of a connection, where the overdue ones were gone through twice. Run: all five test programs with sanitizers, the node client, formatting.

--- a/http/client.cpp
+++ b/http/client.cpp
@@ -66,10 +66,7 @@
     }
     if (open_ < bounds_.open) break;
     if (loop_.now() >= until) co_return nullptr;
-    co_await io::within(loop_, rested, [](io::Signal& s) -> io::Task<bool> {
-      co_await s.wait();
-      co_return true;
-    }(returned_));
+    co_await io::wait_until(loop_, returned_, rested);
   }
   struct Counted {  // a dial that is cancelled counts no more
     Pool* pool;
--- a/http/server.cpp
+++ b/http/server.cpp
@@ -59,11 +59,12 @@
 }
 
 // Each ends by itself, as what it waits to read fails.
-template <class Which>
-void Server::close_quiet(How how, Which which) {
+template <class Judge>
+void Server::close_quiet(Judge judge) {
   for (auto it = quiet_.begin(); it != quiet_.end();) {
     Quiet& q = *it++;
-    if (!which(q)) continue;
+    const How how = judge(q);
+    if (how == How::stays) continue;
     quiet_.erase(quiet_.iterator_to(q));
     q.ended = how == How::ended;
     how == How::ended ? q.socket.stop_reading() : q.socket.close();
@@ -74,12 +75,13 @@
   stopping_ = true;
   acceptor_.cancel();
   listener_.close();
-  close_quiet(How::closed, Quiet::between_requests);
+  close_quiet([](const Quiet& q) { return Quiet::between_requests(q) ? How::closed : How::stays; });
 }
 
 void Server::wind_down(bool all) {
   stopping_ = true;
-  close_quiet(How::ended, [all](const Quiet& q) { return !q.lingers && !q.body && (all || !q.first); });
+  close_quiet(
+      [all](const Quiet& q) { return q.rests() || (all && q.first && !q.body) ? How::ended : How::stays; });
 }
 
 void Server::be_patient(Patience patience) {
@@ -91,8 +93,9 @@
   for (;;) {
     co_await loop_.sleep_for(kLook);
     // A request may be on its way on one that rests; who has not brought one, or lingers, is owed no more time.
-    close_quiet(How::ended, [this](const Quiet& q) { return q.due <= loop_.now() && q.rests(); });
-    close_quiet(How::closed, [this](const Quiet& q) { return q.due <= loop_.now(); });
+    close_quiet([this](const Quiet& q) {
+      return q.due > loop_.now() ? How::stays : q.rests() ? How::ended : How::closed;
+    });
   }
 }
 
--- a/http/server.h
+++ b/http/server.h
@@ -28,13 +28,12 @@
   io::Task<bool> end(std::string_view data = {});
   // The peer is left without a proper end: it sees that the answer broke.
   void break_off() { keep_alive_ = false, socket_.close(true); }
-  // As that, but what was written still reaches it.
-  void cut() { keep_alive_ = false; }
   io::Task<> peer_gone() { return socket_.peer_gone(); }
   io::Socket& socket() { return socket_; }
   bool begun() const { return begun_; }
   bool broken() const { return broken_; }
   bool keep_alive() const { return keep_alive_; }
+  // The connection ends behind what was written, which still reaches the peer: with an answer that was not ended, cut.
   void close_after() { keep_alive_ = false; }
 
  private:
@@ -115,10 +114,10 @@
   // Closes after an answer that ends its connection, so that what the client still sends cannot take it with it.
   io::Task<> linger(io::Socket& socket, bool& evicted);
   std::size_t evicted_{};  // connections that were closed to make room, and have not ended yet
-  // How a quiet connection ends: at once, or so that bytes that cross its end do no harm.
-  enum class How { closed, ended };
-  template <class Which>
-  void close_quiet(How how, Which which);
+  // What becomes of a quiet connection: closed at once, or ended so that bytes that cross its end do no harm.
+  enum class How { stays, closed, ended };
+  template <class Judge>
+  void close_quiet(Judge judge);
   Patience patience_;
   std::size_t quiet_count_{};
   io::intrusive::list<Quiet, io::intrusive::constant_time_size<false>> quiet_;
--- a/io/loop.h
+++ b/io/loop.h
@@ -223,4 +223,12 @@
   co_return result;
 }
 
+// Waits for a signal until then at most.
+inline Task<> wait_until(Loop& loop, Signal& signal, Nanos deadline) {
+  co_await within(loop, deadline, [](Signal& s) -> Task<bool> {
+    co_await s.wait();
+    co_return true;
+  }(signal));
+}
+
 }  // namespace cressrill::io
--- a/rig/crowd.cpp
+++ b/rig/crowd.cpp
@@ -154,11 +154,7 @@
   }
   // Sessions that are in the middle go on for a while; what was asked is waited for to its end.
   const io::Nanos last = loop_.now() + 20 * io::kSecond;
-  while (going_ > 0 && loop_.now() < last)
-    co_await io::within(loop_, last, [](io::Signal& s) -> io::Task<bool> {
-      co_await s.wait();
-      co_return true;
-    }(left_));
+  while (going_ > 0 && loop_.now() < last) co_await io::wait_until(loop_, left_, last);
 }
 
 }  // namespace cressrill::rig
--- a/router/host.cpp
+++ b/router/host.cpp
@@ -436,10 +436,7 @@
             ok |= (co_await http::exchange(std::move(pool), std::move(text))).ok();
             told.notify();
           }(link->pool, ask->talk->release(0, link->listed.address), heard, news));
-    co_await io::within(loop_, next, [](io::Signal& s) -> io::Task<bool> {
-      co_await s.wait();
-      co_return true;
-    }(news));
+    co_await io::wait_until(loop_, news, next);
   }
 }
 
@@ -528,7 +525,7 @@
   }
   if (!begun) answer.begin_with_part(200, protocol_.stream_fields());
   if (closing.cut) {
-    answer.cut();
+    answer.close_after();
     co_return;
   }
   if (closing.close_after) answer.close_after();
--- a/tests/site.h
+++ b/tests/site.h
@@ -215,11 +215,7 @@
     if (at != std::string::npos) {
       const auto after = static_cast<std::uint64_t>(std::stoll(target.substr(at + 6)));
       const io::Nanos until = loop_.now() + std::stoll(target.substr(target.find("wait=") + 5)) * kMs;
-      while (rev == after && loop_.now() < until)
-        co_await io::within(loop_, until, [](io::Signal& s) -> io::Task<bool> {
-          co_await s.wait();
-          co_return true;
-        }(changed_));
+      while (rev == after && loop_.now() < until) co_await io::wait_until(loop_, changed_, until);
       for (const auto& [version, changed] : changes_)
         if (version > after) some.push_back(changed);
     }
