--- a/core/worker_list.h
+++ b/core/worker_list.h
@@ -24,6 +24,9 @@
   std::uint64_t version{};
   bool complete{};
   std::vector<ListedWorker> workers;
+  // Who told it: 0 for a list that was kept over a restart, then one number for each place that is asked, rising. A later
+  // one may know less than the one before it.
+  int source{};
 };
 
 // Throws std::invalid_argument with what is wrong and where.
--- a/router/fleet.cpp
+++ b/router/fleet.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <unordered_set>
 
 namespace cressrill::router {
 
@@ -26,7 +27,7 @@
   return station_.deployment.kinds[static_cast<std::size_t>(l.kind)].role;
 }
 
-Link* Fleet::entry(const core::ListedWorker& listed, int& index) {
+Link* Fleet::entry(const core::WorkerList& list, const core::ListedWorker& listed, int& index) {
   const auto address = io::parse_address(listed.address);
   const int kind = place(station_.kind_names, listed.kind), zone = place(station_.zones, listed.zone);
   const char* wrong = !address ? "address" : kind < 0 ? "kind" : zone < 0 ? "zone" : nullptr;
@@ -57,36 +58,60 @@
   }
   link.kind = kind, link.zone = zone;
   link.cell = cells_.try_emplace(listed.cell, static_cast<int>(cells_.size())).first->second;
-  if (listed.standing == Standing::ready)
-    link.not_ready_since = 0;
-  else if (link.not_ready_since == 0)
-    link.not_ready_since = loop_.now();
+  const Standing standing = takes_back(list, listed, link) ? link.listed.standing : listed.standing;
   link.listed = listed;
+  note_standing(list, standing, link);
   return &link;
 }
 
+// Whether an entry would make a worker ready again that is known to drain or to be gone, without knowing of that. Guards
+// rule 3 where another agent of discovery lags behind the one before it, or a list comes late.
+bool Fleet::takes_back(const core::WorkerList& list, const core::ListedWorker& listed,
+                       const Link& link) const {
+  if (listed.standing != Standing::ready || link.not_ready_since == 0) return false;
+  if (listed.started != link.listed.started || link.not_ready_source == 0) return false;
+  const bool knows = list.source == link.not_ready_source || list.version > source_version_;
+  return !knows || list.version <= link.not_ready_version;
+}
+
+void Fleet::note_standing(const core::WorkerList& list, Standing standing, Link& link) {
+  link.listed.standing = standing;
+  if (standing == Standing::ready) {
+    link.not_ready_since = 0;
+  } else if (link.not_ready_since == 0) {
+    link.not_ready_since = loop_.now();
+    link.not_ready_version = list.version;
+    link.not_ready_source = list.source;
+  }
+}
+
 void Fleet::take(const core::WorkerList& list, Policy& policy) {
   version_ = list.version;
+  if (list.source != source_) source_ = list.source, source_version_ = list.version;
   policy.list_begins(loop_.now(), list.complete);
-  if (list.complete)
-    for (auto& link : links_)
-      if (link && link->not_ready_since == 0) {
-        link->listed.standing = Standing::gone;
-        link->not_ready_since = loop_.now();
-      }
+  if (list.complete) drop_unlisted(list);
   for (const core::ListedWorker& w : list.workers) {
     int index = -1;
     if (w.standing == Standing::gone && !index_.contains(w.name)) continue;  // never told of, or forgotten
-    const Link* link = entry(w, index);
+    const Link* link = entry(list, w, index);
     if (link == nullptr) continue;
     const Nanos started = w.started == 0 ? 0 : std::max<Nanos>(1, w.started - loop_.wall_at_zero());
-    policy.worker_listed(index, link->identity, w.standing, started, link->kind, link->zone, link->cell);
+    policy.worker_listed(index, link->identity, link->listed.standing, started, link->kind, link->zone,
+                         link->cell);
   }
   for (auto& link : links_)
     if (link && link->listed.standing == Standing::gone) link->pool->drop_kept();
   policy.list_ends();
 }
 
+// A worker that a complete list does not name is gone.
+void Fleet::drop_unlisted(const core::WorkerList& list) {
+  std::unordered_set<std::string_view> named;
+  for (const core::ListedWorker& w : list.workers) named.insert(w.name);
+  for (auto& link : links_)
+    if (link && !named.contains(link->listed.name)) note_standing(list, Standing::gone, *link);
+}
+
 void Fleet::forget(int worker) {
   auto& link = links_[static_cast<std::size_t>(worker)];
   index_.erase(link->listed.name);
--- a/router/fleet.h
+++ b/router/fleet.h
@@ -20,7 +20,9 @@
   int zone{};
   int cell{};
   std::uint64_t identity{};
-  io::Nanos not_ready_since{};       // told that it drains or is gone; 0: it is ready
+  io::Nanos not_ready_since{};        // told that it drains or is gone; 0: it is ready
+  std::uint64_t not_ready_version{};  // of the list that told it, and who told that
+  int not_ready_source{};
   io::Nanos heard{};                 // an attempt's answer came last
   std::shared_ptr<http::Pool> pool;  // attempts that are out keep an old address's pool alive
 };
@@ -45,11 +47,16 @@
   core::WorkerList whole() const;
 
  private:
-  Link* entry(const core::ListedWorker& listed, int& index);
+  Link* entry(const core::WorkerList& list, const core::ListedWorker& listed, int& index);
+  bool takes_back(const core::WorkerList& list, const core::ListedWorker& listed, const Link& link) const;
+  void note_standing(const core::WorkerList& list, Standing standing, Link& link);
+  void drop_unlisted(const core::WorkerList& list);
   io::Loop& loop_;
   const core::Station& station_;
   core::Log& log_;
   std::uint64_t version_{};
+  int source_{};                      // of the last list,
+  std::uint64_t source_version_{};    // and the version of the first that it told
   std::shared_ptr<http::Room> room_;  // for the connections to all workers
   std::vector<std::unique_ptr<Link>> links_;
   std::vector<int> free_;  // indices of workers that were forgotten
--- /dev/null
+++ b/tests/discovery_test.cpp
@@ -0,0 +1,139 @@
+// What discovery tells, in orders that can go wrong: lists in halves, agents that lag behind, versions that go back.
+#include "raw_server.h"
+#include "site.h"
+
+namespace cressrill::testing {
+
+namespace {
+
+// An agent whose every answer is written by hand. The router knows its list of version 41 and watches.
+struct ManualAgent {
+  explicit ManualAgent(Site& site) : of(site) {
+    site.node->move_discovery(server.address());
+    site.pass(5);
+    watch = server.accept();
+    REQUIRE(watch);
+    watch->read();
+    REQUIRE(watch->text().starts_with("GET /discovery/hosts HTTP"));
+    watch->forget_text();
+    write(*watch, list(41, true, "up"));
+    site.pass(5);
+    watch->read();
+    REQUIRE(watch->text().starts_with("GET /discovery/hosts?index=41&wait=3000"));
+  }
+  // The state of writer-0 in it.
+  std::string list(int version, bool whole, const std::string& state) const {
+    json targets = json::array();
+    for (const auto& w : of.workers)
+      if (whole || (w->name == "writer-0" && !state.empty()))
+        targets.push_back(Site::target(*w, w->name == "writer-0" ? state : "up"));
+    return json{{"rev", version}, {"all", whole}, {"targets", targets}}.dump();
+  }
+  static void write(RawConnection& to, const std::string& body) {
+    const std::string text = http::response_text(200, "", body, true);
+    CHECK(to.write(text) == text.size());
+  }
+  Site& of;
+  RawServer server;
+  std::unique_ptr<RawConnection> watch;
+};
+
+}  // namespace
+
+// Guards rule 3: what an agent has begun to write counts as told. An answer beside it must not drop it.
+TEST_CASE("half of a watch's answer has come when another call is answered: the rest still counts") {
+  Site s(1, 2);
+  ManualAgent agent(s);
+  s.pass(3400);  // the watch is late
+  auto beside = agent.server.accept();
+  REQUIRE(beside);
+  beside->read();
+  REQUIRE(beside->text().starts_with("GET /discovery/hosts?index=41&wait=0"));
+  const std::string drain = http::response_text(200, "", agent.list(42, false, "draining"), true);
+  agent.watch->write(drain.substr(0, drain.size() / 2));
+  s.pass(5);
+  agent.write(*beside, agent.list(41, false, ""));
+  s.pass(5);
+  agent.watch->write(drain.substr(drain.size() / 2));
+  s.pass(5);
+  CHECK(!s.listed_ready("writer-0"));
+  s.node.reset();
+}
+
+TEST_CASE("half of an answer has come from the old agent when discovery moves: the rest still counts") {
+  Site s(1, 2);
+  RawServer next;  // says nothing
+  ManualAgent agent(s);
+  const std::string drain = http::response_text(200, "", agent.list(42, false, "draining"), true);
+  agent.watch->write(drain.substr(0, drain.size() / 2));
+  s.pass(5);
+  s.node->move_discovery(next.address());
+  s.pass(5);
+  agent.watch->write(drain.substr(drain.size() / 2));
+  s.pass(5);
+  CHECK(!s.listed_ready("writer-0"));
+  s.node.reset();
+}
+
+TEST_CASE("an answer of the old agent that comes after the new one has told its list is left alone") {
+  Site s(1, 2);
+  ManualAgent agent(s);
+  Agent next(s.loop);
+  next.rev = 100;
+  for (auto& w : s.workers) next.put(Site::target(*w));
+  s.node->move_discovery(next.address());
+  s.pass(20);
+  agent.write(*agent.watch, agent.list(200, true, "removed"));
+  s.pass(20);
+  CHECK(s.listed_ready("writer-0"));
+  s.scope.cancel();
+  s.node.reset();
+}
+
+// Guards rule 3 where the agent that is asked now knows less than the one before it.
+TEST_CASE("a drain that was told is not taken back by another agent's first list, nor by an older version") {
+  for (const int version : {5, 500}) {
+    CAPTURE(version);
+    Site s(1, 2);
+    s.agent.put(Site::target(s.worker("writer-0"), "draining"));
+    s.pass(20);
+    REQUIRE(!s.listed_ready("writer-0"));
+    Agent next(s.loop);
+    next.rev = static_cast<std::uint64_t>(version);
+    for (auto& w : s.workers) next.put(Site::target(*w));
+    s.node->move_discovery(next.address());
+    s.pass(20);
+    CHECK(!s.listed_ready("writer-0"));
+    // Restarted, it is another process: nothing was told of that one.
+    json restarted = Site::target(s.worker("writer-0"));
+    restarted["boot_ms"] = 1'700'000'000'500.0;
+    next.put(restarted);
+    s.pass(20);
+    CHECK(s.listed_ready("writer-0"));
+    s.scope.cancel();
+    s.node.reset();
+  }
+}
+
+TEST_CASE("a drain that its own agent takes back with a newer version is over") {
+  Site s(1, 2);
+  s.agent.put(Site::target(s.worker("writer-0"), "draining"));
+  s.pass(20);
+  REQUIRE(!s.listed_ready("writer-0"));
+  s.agent.put(Site::target(s.worker("writer-0")));
+  s.pass(20);
+  CHECK(s.listed_ready("writer-0"));
+}
+
+TEST_CASE("a worker that a whole list leaves out is gone; a whole list that names it again brings it back") {
+  Site s(1, 2);
+  s.agent.always_whole = true;
+  s.agent.put(Site::target(s.worker("writer-0"), "removed"));
+  s.pass(20);
+  CHECK(!s.listed_ready("writer-0"));
+  s.agent.put(Site::target(s.worker("writer-0")));
+  s.pass(20);
+  CHECK(s.listed_ready("writer-0"));
+}
+
+}  // namespace cressrill::testing
