A request of which a part has come is answered before its connection ends

Now one that carries nothing makes way; where all carry a part, the longest is answered 503. - end_overdue() closed a connection whose request was not whole in time without a word: 408 and an orderly end. - wind_down() ended resting connections of which half a request had been read: the rest is awaited, within the same time. - stop_accepting() reset what the machine had accepted and nobody had read: it is taken first, then the listener closes. - A peer that takes nothing of what is written to it holds the write for good: limit_write_stall(), off unless set. A peer that reads slowly does not stall: SIOCOUTQ tells, since a socket becomes writable again only once a third of its buffer is free.

--- a/http/message.cpp
+++ b/http/message.cpp
@@ -43,7 +43,8 @@
 }
 
 const char* word(Fault fault) {
-  static constexpr const char* words[] = {"none", "closed", "malformed", "head too large", "body too large"};
+  static constexpr const char* words[] = {"none",           "closed",    "malformed", "head too large",
+                                          "body too large", "timed out", "no room"};
   return words[static_cast<int>(fault)];
 }
 
@@ -275,6 +276,7 @@
   return !parts_->sink->done() || (!parts_->handed && !parts_->target.pieces.empty());
 }
 bool Reader::leftover() const { return parts_->used < parts_->size; }
+bool Reader::started() const { return parts_->sink->started() || leftover(); }
 
 std::string request_head(std::string_view method, std::string_view target, std::string_view host,
                          std::string_view fields, std::size_t body_bytes) {
--- a/http/message.h
+++ b/http/message.h
@@ -49,10 +49,12 @@
 // How a message came to its end.
 enum class Fault {
   none,
-  closed,      // the peer ended or broke the connection before the message was whole
-  malformed,   // not HTTP, or a framing that could be read in two ways (RFC 9112, section 6.3)
-  head_large,  // past Bounds::head_bytes
-  body_large,  // past Bounds::body_bytes
+  closed,       // the peer ended or broke the connection before the message was whole
+  malformed,    // not HTTP, or a framing that could be read in two ways (RFC 9112, section 6.3)
+  head_large,   // past Bounds::head_bytes
+  body_large,   // past Bounds::body_bytes
+  timed_out,    // a request of which a part came, and not the rest in time
+  crowded_out,  // a request of which a part came, given up as there is no room for its connection
 };
 const char* word(Fault fault);
 
@@ -77,6 +79,8 @@
   bool more() const;
   // Bytes that came past the end of the message: none are owed.
   bool leftover() const;
+  // Whether any byte of the message that is being read has come.
+  bool started() const;
 
  private:
   struct Parts;
--- a/http/server.cpp
+++ b/http/server.cpp
@@ -4,17 +4,37 @@
 
 #include <algorithm>
 #include <array>
+#include <cerrno>
 
 namespace cressrill::http {
 
 namespace {
 constexpr io::Nanos kLook = 100 * io::kMs;  // clients that are too slow are looked for this often
 constexpr io::Nanos kLinger = io::kSecond;  // for what still comes after an answer that ends its connection
+
+// Of the error that a request is answered with which cannot be read.
+int status_of(Fault fault) {
+  switch (fault) {
+    case Fault::body_large:
+      return 413;
+    case Fault::head_large:
+      return 431;
+    case Fault::timed_out:
+      return 408;
+    case Fault::crowded_out:
+      return 503;
+    default:
+      return 400;
+  }
+}
 }  // namespace
 
 bool Answer::wrote(const io::Moved& moved) {
-  if (!moved.ok()) broken_ = true, keep_alive_ = false;
-  return moved.ok();
+  if (moved.ok()) return true;
+  broken_ = true;
+  stalled_ = moved.error == ETIMEDOUT;
+  keep_alive_ = false;
+  return false;
 }
 io::Task<bool> Answer::whole(int status, std::string_view fields, std::string_view body) {
   begun_ = true;
@@ -62,26 +82,40 @@
 template <class Judge>
 void Server::close_quiet(Judge judge) {
   for (auto it = quiet_.begin(); it != quiet_.end();) {
-    Quiet& q = *it++;
-    const How how = judge(q);
-    if (how == How::stays) continue;
-    quiet_.erase(quiet_.iterator_to(q));
-    q.ended = how == How::ended;
-    how == How::ended ? q.socket.stop_reading() : q.socket.close();
+    Quiet& quiet = *it++;
+    const How how = judge(quiet);
+    if (how != How::stays) end_quiet(quiet, how);
   }
 }
 
+void Server::end_quiet(Quiet& quiet, How how) {
+  quiet_.erase(quiet_.iterator_to(quiet));
+  quiet.how = how;
+  if (how == How::closed)
+    quiet.socket.close();
+  else
+    quiet.socket.stop_reading();
+}
+
+// Closes the listener, but first takes what the machine has accepted: a connection that is left in the listener's queue is
+// reset with the request that it carries.
 void Server::stop_accepting() {
-  stopping_ = true;
   acceptor_.cancel();
+  while (open_ < connections_) {
+    io::Socket socket = listener_.accept_now();
+    if (!socket.is_open()) break;
+    begin(std::move(socket));
+  }
   listener_.close();
-  close_quiet([](const Quiet& q) { return Quiet::between_requests(q) ? How::closed : How::stays; });
+  wind_down(true);
 }
 
 void Server::wind_down(bool all) {
   stopping_ = true;
-  close_quiet(
-      [all](const Quiet& q) { return q.rests() || (all && q.first && !q.body) ? How::ended : How::stays; });
+  close_quiet([all](const Quiet& quiet) {
+    const bool unused = quiet.first && !quiet.half_read() && !quiet.socket.has_unread();
+    return quiet.rests() || (all && unused) ? How::ended : How::stays;
+  });
 }
 
 void Server::be_patient(Patience patience) {
@@ -93,21 +127,34 @@
   for (;;) {
     co_await loop_.sleep_for(kLook);
     // A request may be on its way on one that rests; who has not brought one, or lingers, is owed no more time.
-    close_quiet([this](const Quiet& q) {
-      return q.due > loop_.now() ? How::stays : q.rests() ? How::ended : How::closed;
+    close_quiet([this](const Quiet& quiet) {
+      if (quiet.due > loop_.now()) return How::stays;
+      if (quiet.half_read()) return How::timed_out;
+      if (quiet.rests()) return How::ended;
+      return quiet.socket.has_unread() && !quiet.lingers() ? How::stays : How::closed;
     });
   }
 }
 
-// At the bound the connection that has been quiet longest makes way.
+// At the bound the connection that has been quiet longest makes way: one that carries nothing, read or unread. Where all carry
+// a part of a request, the first of these is answered that there is no room.
 void Server::make_room() {
   if (patience_.idle == 0) return;
-  const auto longest = std::ranges::find_if(quiet_, Quiet::between_requests);
-  if (longest == quiet_.end()) return;
-  longest->evicted = true, ++evicted_;
-  io::Socket& socket = longest->socket;
-  quiet_.erase(longest);
-  socket.close();
+  Quiet* half_read = nullptr;
+  for (Quiet& quiet : quiet_) {
+    if (quiet.half_read()) {
+      if (half_read == nullptr) half_read = &quiet;
+      continue;
+    }
+    if (!quiet.socket.has_unread()) return evict(quiet, How::closed);
+  }
+  if (half_read != nullptr) evict(*half_read, How::crowded_out);
+}
+
+void Server::evict(Quiet& quiet, How how) {
+  quiet.evicted = true;
+  ++evicted_;
+  end_quiet(quiet, how);
 }
 
 void Server::accept_slowly(io::Nanos each) {
@@ -126,30 +173,36 @@
   for (;;) {
     while (open_ >= connections_) {
       if (open_ - evicted_ >= connections_) make_room();
-      co_await closed_.wait();
+      // Those that carried something now may carry nothing later, and nobody tells of that.
+      co_await io::wait_until(loop_, closed_, loop_.now() + kLook);
     }
     io::Socket socket = co_await listener_.accept();
     if (!socket.is_open()) co_return;
-    ++open_;
-    sessions_.spawn(serve(std::move(socket)));
+    begin(std::move(socket));
     if (accept_each_ > 0) co_await loop_.sleep_for(accept_each_);
   }
 }
 
+void Server::begin(io::Socket socket) {
+  ++open_;
+  socket.limit_write_stall(write_stall_);
+  sessions_.spawn(serve(std::move(socket)));
+}
+
 io::Task<> Server::refuse(io::Socket& socket, Fault fault, bool& evicted) {
-  const int status = fault == Fault::body_large ? 413 : fault == Fault::head_large ? 431 : 400;
+  const int status = status_of(fault);
   const std::string body = refusal_ ? refusal_(status, fault) : std::string(word(fault)) + "\n";
   co_await socket.write_all(response_text(status, "content-type: application/json\r\n", body, false));
   co_await linger(socket, evicted);
 }
 
 // Closing with bytes unread would reset the connection and could take the answer with it, and so would bytes that
-// cross the end: ends the sending side, and reads on a while. What comes then is not taken.
+// cross the end: ends the sending side, and reads on a while. What comes then is not taken. One that makes way for another
+// has no time for it.
 io::Task<> Server::linger(io::Socket& socket, bool& evicted) {
-  if (!socket.is_open()) co_return;
+  if (!socket.is_open() || evicted) co_return;
   const io::Nanos until = loop_.now() + kLinger;
   Quiet quiet(*this, socket, until, evicted);
-  quiet.lingers = true;
   ::shutdown(socket.fd(), SHUT_WR);
   std::array<char, 16 * 1024> buffer;
   for (;;) {
@@ -158,35 +211,40 @@
   }
 }
 
+// The next request of a connection, or why there is none.
+io::Task<Fault> Server::read_request(Session& session, Request& request) {
+  request.body.clear();
+  const bool first = session.requests++ == 0;
+  Quiet quiet(*this, session.socket, due(first ? patience_.first : patience_.idle), session.evicted,
+              &session.reader);
+  quiet.first = first;
+  Fault fault = co_await session.reader.head(request.head);
+  if (!first) quiet.due = due(patience_.request);
+  // RFC 9110, 10.1.1: the client may wait to be asked for the body.
+  if (fault == Fault::none && request.head.field("expect") == "100-continue" && session.reader.more())
+    co_await session.socket.write_all("HTTP/1.1 100 Continue\r\n\r\n");
+  if (fault == Fault::none) fault = co_await session.reader.rest(request.body);
+  session.ended = quiet.how == How::ended;
+  if (quiet.how == How::timed_out) co_return Fault::timed_out;
+  if (quiet.how == How::crowded_out) co_return Fault::crowded_out;
+  // A client that has ended its connection has gone, whatever it sent before.
+  co_return session.socket.peer_ended() ? Fault::closed : fault;
+}
+
+io::Nanos Server::due(io::Nanos span) const { return span > 0 ? loop_.now() + span : io::Loop::kNoTimer; }
+
 io::Task<> Server::serve(io::Socket socket) {
-  Reader reader(socket, Kind::request, bounds_);
+  Session session{socket, Reader(socket, Kind::request, bounds_)};
   Request request;
-  const auto due = [this](io::Nanos span) { return span > 0 ? loop_.now() + span : io::Loop::kNoTimer; };
-  bool first = true, evicted = false;
-  for (bool on = true; on && socket.is_open(); first = false) {
-    request.body.clear();
-    Fault fault{};
-    bool ended = false;
-    {
-      Quiet quiet(*this, socket, due(first ? patience_.first : patience_.idle), evicted);
-      quiet.first = first;
-      fault = co_await reader.head(request.head);
-      if (!first) quiet.due = due(patience_.request);
-      quiet.body = fault == Fault::none;
-      // RFC 9110, 10.1.1: the client may wait to be asked for the body.
-      if (fault == Fault::none && request.head.field("expect") == "100-continue" && reader.more())
-        co_await socket.write_all("HTTP/1.1 100 Continue\r\n\r\n");
-      if (fault == Fault::none) fault = co_await reader.rest(request.body);
-      ended = quiet.ended;
-    }
-    if (ended) {
-      co_await linger(socket, evicted);
+  for (bool on = true; on && socket.is_open();) {
+    const Fault fault = co_await read_request(session, request);
+    if (session.ended) {
+      co_await linger(socket, session.evicted);
       break;
     }
-    // A client that has ended its connection has gone, whatever it sent before.
-    if (fault == Fault::closed || socket.peer_ended()) break;
+    if (fault == Fault::closed) break;
     if (fault != Fault::none) {
-      co_await refuse(socket, fault, evicted);
+      co_await refuse(socket, fault, session.evicted);
       break;
     }
     request.came = loop_.now();
@@ -194,10 +252,10 @@
     co_await handler_(request, answer);
     if (!answer.begun() && socket.is_open()) answer.break_off();
     on = answer.keep_alive() && !stopping_;
-    if (!on && !answer.broken()) co_await linger(socket, evicted);
+    if (!on && !answer.broken()) co_await linger(socket, session.evicted);
   }
   socket.close();
-  evicted_ -= evicted;
+  evicted_ -= session.evicted;
   --open_;
   closed_.notify();
 }
--- a/http/server.h
+++ b/http/server.h
@@ -32,6 +32,8 @@
   io::Socket& socket() { return socket_; }
   bool begun() const { return begun_; }
   bool broken() const { return broken_; }
+  // Broken as the peer took nothing for as long as the connection allows.
+  bool stalled() const { return stalled_; }
   bool keep_alive() const { return keep_alive_; }
   // The connection ends behind what was written, which still reaches the peer: with an answer that was not ended, cut.
   void close_after() { keep_alive_ = false; }
@@ -43,6 +45,7 @@
   bool keep_alive_;
   bool begun_{};
   bool broken_{};
+  bool stalled_{};
 };
 
 // How long a client may take; 0: as long as it likes.
@@ -64,10 +67,13 @@
   void refuse_with(Refusal refusal) { refusal_ = std::move(refusal); }
   // Ends connections whose clients take longer. Set before the first comes.
   void be_patient(Patience patience);
+  // Ends a connection whose client takes nothing of what is written to it for so long. Set before the first comes.
+  void limit_write_stall(io::Nanos span) { write_stall_ = span; }
   // Connections end after the request that they carry, those that have carried one and carry none at once; new ones are
   // still taken, and may bring one. all: those that have carried none end as well.
   void wind_down(bool all);
-  // No new connections; those that are open end after the request that they carry.
+  // No new connections beside those that the machine has accepted; those that are open end after the request that they
+  // carry.
   void stop_accepting();
   std::size_t connections() const { return open_; }
   // Connections with a request in hand.
@@ -78,10 +84,26 @@
   void kill();
 
  private:
+  // State of one connection beside its socket.
+  struct Session {
+    io::Socket& socket;
+    Reader reader;
+    std::size_t requests{};  // whose reading has begun
+    bool evicted{};          // it was closed to make room
+    bool ended{};            // this side has ended it: what still comes is read, and nobody's
+  };
+
   io::Task<> accept();
+  void begin(io::Socket socket);
   io::Task<> serve(io::Socket socket);
+  io::Task<Fault> read_request(Session& session, Request& request);
+  io::Nanos due(io::Nanos span) const;
   io::Task<> refuse(io::Socket& socket, Fault fault, bool& evicted);
 
+  // What becomes of a quiet connection: closed at once, ended so that bytes that cross its end do no harm, or, where a part
+  // of a request has come, answered with an error.
+  enum class How { stays, closed, ended, timed_out, crowded_out };
+
   io::Loop& loop_;
   Handler handler_;
   Refusal refusal_;
@@ -92,8 +114,8 @@
   io::Nanos accept_each_{};
   // A connection that carries no whole request, from its beginning or its last answer on. In the list by that time.
   struct Quiet : io::intrusive::list_base_hook<io::AutoUnlink> {
-    Quiet(Server& of, io::Socket& s, io::Nanos until, bool& e)
-        : server(of), socket(s), due(until), evicted(e) {
+    Quiet(Server& of, io::Socket& s, io::Nanos until, bool& e, const Reader* r = nullptr)
+        : server(of), socket(s), due(until), evicted(e), reader(r) {
       server.quiet_.push_back(*this), ++server.quiet_count_;
       if (server.open_ >= server.connections_) server.closed_.notify();  // it may make room
     }
@@ -102,23 +124,25 @@
     io::Socket& socket;
     io::Nanos due;
     bool& evicted;
-    static bool between_requests(const Quiet& q) { return !q.body; }
-    bool body{};   // its head has been read: it is not closed to make room
-    bool first{};  // it has carried no request yet
-    bool ended{};  // this side ends it: what still comes is read, and nobody's
-    bool lingers{};
-    bool rests() const { return !body && !first && !lingers; }
+    const Reader* reader;  // of its requests; null where it lingers
+    bool first{};          // it has carried no request yet
+    How how{How::stays};   // how this side ends it
+    bool lingers() const { return reader == nullptr; }
+    // A part of a request has come, read or not: its client is owed an answer.
+    bool half_read() const { return reader != nullptr && reader->started(); }
+    bool rests() const { return !first && !lingers() && !half_read(); }
   };
   io::Task<> end_overdue();
   void make_room();
   // Closes after an answer that ends its connection, so that what the client still sends cannot take it with it.
   io::Task<> linger(io::Socket& socket, bool& evicted);
   std::size_t evicted_{};  // connections that were closed to make room, and have not ended yet
-  // What becomes of a quiet connection: closed at once, or ended so that bytes that cross its end do no harm.
-  enum class How { stays, closed, ended };
   template <class Judge>
   void close_quiet(Judge judge);
+  void end_quiet(Quiet& quiet, How how);
+  void evict(Quiet& quiet, How how);
   Patience patience_;
+  io::Nanos write_stall_{};
   std::size_t quiet_count_{};
   io::intrusive::list<Quiet, io::intrusive::constant_time_size<false>> quiet_;
   io::Signal closed_;
--- a/io/socket.cpp
+++ b/io/socket.cpp
@@ -1,7 +1,9 @@
 #include "socket.h"
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
 #include <unistd.h>
@@ -81,7 +83,7 @@
   Side side;
 };
 
-Socket::Socket(Loop& loop, int fd) : state_(std::make_unique<State>(State{loop, fd, {}})) {
+Socket::Socket(Loop& loop, int fd) : state_(std::make_unique<State>(State{loop, fd, {}, 0})) {
   loop.watch(fd, state_->watch);
 }
 
@@ -134,6 +136,37 @@
   }
 }
 
+void Socket::limit_write_stall(Nanos span) {
+  if (state_) state_->write_stall = span;
+}
+
+// Whether the kernel takes more within the bound; also where the socket was closed meanwhile. It says so only once much of
+// its buffer is free: a peer that takes some of it, however slowly, does not stall.
+Task<bool> Socket::becomes_writable() {
+  constexpr Nanos kLooks = 4;  // in the time that a peer may stall
+  state_->watch.writable = false;
+  int least = queued();
+  Nanos taken_at = state_->loop.now();
+  for (;;) {
+    Ready ready(state_->watch, Side::write);
+    Timer timer;
+    if (state_->write_stall > 0)
+      state_->loop.set(timer, state_->loop.now() + state_->write_stall / kLooks, ready);
+    co_await ready;
+    if (!state_ || state_->watch.writable) co_return true;
+    if (const int left = queued(); left < least) {
+      least = left;
+      taken_at = state_->loop.now();
+    }
+    if (state_->write_stall > 0 && state_->loop.now() - taken_at >= state_->write_stall) co_return false;
+  }
+}
+
+int Socket::queued() const {
+  int bytes = 0;
+  return ::ioctl(state_->fd, SIOCOUTQ, &bytes) == 0 ? bytes : 0;
+}
+
 Task<Moved> Socket::write_all(std::string_view from) {
   std::size_t sent = 0;
   while (sent < from.size()) {
@@ -147,8 +180,7 @@
     }
     if (errno == EINTR) continue;
     if (errno != EAGAIN) co_return Moved{sent, errno};
-    state_->watch.writable = false;
-    co_await Ready(state_->watch, Side::write);
+    if (!co_await becomes_writable()) co_return Moved{sent, ETIMEDOUT};
   }
   co_return Moved{sent, 0};
 }
@@ -184,8 +216,7 @@
     }
     if (errno == EINTR) continue;
     if (errno != EAGAIN) co_return Moved{sent, errno};
-    state_->watch.writable = false;
-    co_await Ready(state_->watch, Side::write);
+    if (!co_await becomes_writable()) co_return Moved{sent, ETIMEDOUT};
   }
 }
 
@@ -196,9 +227,7 @@
       co_await Ready(state_->watch, Side::read);
       continue;
     }
-    char one;
-    state_->loop.called(Call::recv);
-    const ssize_t n = ::recv(state_->fd, &one, 1, MSG_PEEK);
+    const ssize_t n = look();
     if (n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR)) co_return;
     // Unread bytes hide the peer's end from a look at the first of them; the kernel has told of it (EPOLLRDHUP).
     if (n > 0 && state_->watch.hung) co_return;
@@ -216,10 +245,16 @@
 
 bool Socket::spoiled() const {
   if (!state_) return true;
+  const ssize_t seen = look();
+  return seen >= 0 || errno != EAGAIN;
+}
+
+bool Socket::has_unread() const { return state_ && look() > 0; }
+
+ssize_t Socket::look() const {
   char one;
   state_->loop.called(Call::recv);
-  const ssize_t n = ::recv(state_->fd, &one, 1, MSG_PEEK);
-  return n >= 0 || errno != EAGAIN;
+  return ::recv(state_->fd, &one, 1, MSG_PEEK);
 }
 
 Task<Moved> connect(Loop& loop, Address address, Socket& to) {
@@ -265,12 +300,8 @@
 Task<Socket> Listener::accept() {
   for (;;) {
     if (!socket_.is_open()) co_return Socket{};
-    loop_.called(Call::accept4);
-    const int fd = ::accept4(socket_.fd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    if (fd >= 0) {
-      loop_.called(Call::setsockopt, no_delay(fd));
-      co_return Socket(loop_, fd);
-    }
+    Socket accepted = accept_now();
+    if (accepted.is_open()) co_return accepted;
     if (errno == EMFILE || errno == ENFILE) {  // out of descriptors: let some close first
       co_await loop_.sleep_for(50 * kMs);
       continue;
@@ -281,6 +312,15 @@
   }
 }
 
+Socket Listener::accept_now() {
+  if (!socket_.is_open()) return {};
+  loop_.called(Call::accept4);
+  const int fd = ::accept4(socket_.fd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+  if (fd < 0) return {};
+  loop_.called(Call::setsockopt, no_delay(fd));
+  return Socket(loop_, fd);
+}
+
 void Listener::backlog(int n) {
   if (socket_.is_open()) ::listen(socket_.fd(), n);
 }
--- a/io/socket.h
+++ b/io/socket.h
@@ -48,6 +48,8 @@
   // (sendmsg(2)); they stay the caller's until it is done.
   Task<Moved> write_all(std::string_view from);
   Task<Moved> write_all(std::span<const std::string_view> parts);
+  // From now on a write of which the peer takes nothing for so long ends with ETIMEDOUT. 0, as at first: no such bound.
+  void limit_write_stall(Nanos span);
   // Waits until the peer ends or breaks the connection; what it sends meanwhile is left unread.
   Task<> peer_gone();
   // Whether it has, as far as the kernel has told.
@@ -56,6 +58,8 @@
   void stop_reading();
   // Whether the peer has closed or sent something unasked: such a kept connection is of no use.
   bool spoiled() const;
+  // Whether bytes have come that nobody has read. Closing now would reset the connection.
+  bool has_unread() const;
 
  private:
   friend Task<Moved> connect(Loop&, Address, Socket&);
@@ -66,7 +70,13 @@
     Loop& loop;
     int fd;
     Watch watch;
+    Nanos write_stall{};
   };
+  Task<bool> becomes_writable();
+  // Bytes that were written and that the peer has not acknowledged, or 0 where the kernel does not tell.
+  int queued() const;
+  // Looks at the first unread byte and leaves it: recv(2)'s answer.
+  ssize_t look() const;
   std::unique_ptr<State> state_;
 };
 
@@ -79,6 +89,8 @@
   Listener(Loop& loop, Address address, int backlog = 1024);
   const Address& address() const { return address_; }
   Task<Socket> accept();
+  // One that waits in the queue, or none.
+  Socket accept_now();
   void close() { socket_.close(); }
   bool is_open() const { return socket_.is_open(); }
   void backlog(int n);
