Clients that left or stall, late connections and releases at the end each have one answer

From the review of the paths that end things; each order is forced by a test on real connections and handed time. - router/host.cpp converse() looked for a client that left in the coroutine that writes to it: an attempt went on for as long as the write waited. watch_client() now tells at once and ends the write. - out_of_life() counted the time of a stream that was not read, as its client was slower, for its worker's: a stream was cut after 4.5 s though its worker wrote and its client read. The window also began anew with a second attempt beside one that was still out. A keyed sequence whose window is over is given up at once rather than at its deadline. - An attempt that had ended in the same round as its connection came up was written all the same: may_begin() asks all of it once.

--- a/benchmarks/decide.cpp
+++ b/benchmarks/decide.cpp
@@ -48,7 +48,7 @@
     ++oldest_, ++next_;
   }
 
-  void send(int seq, int worker, Nanos) override {
+  void send(int seq, int worker, AttemptLimits) override {
     if (worker % 2 == 0) sent_order_.push_back(seq);
   }
   void let_go(int) override {}
--- a/http/client.cpp
+++ b/http/client.cpp
@@ -115,11 +115,17 @@
   sweeping_ = false;
 }
 
-io::Task<Exchange> exchange(std::shared_ptr<Pool> pool, std::string text) {
+io::Task<Exchange> exchange(std::shared_ptr<Pool> pool, std::string text,
+                            std::function<bool()> still_wanted) {
   Exchange out;
   Lease lease(std::move(pool));
   out.connected = co_await lease.take();
   if (!out.connected) co_return out;
+  if (still_wanted && !still_wanted()) {
+    lease.keep();
+    out.fault = Fault::closed;
+    co_return out;
+  }
   const io::Moved moved = co_await lease->socket.write_all(text);
   out.sent = moved.bytes > 0;
   if (!moved.ok()) {
--- a/http/client.h
+++ b/http/client.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <deque>
+#include <functional>
 #include <memory>
 
 #include "message.h"
@@ -127,6 +128,8 @@
   std::string body;
   bool ok() const { return connected && fault == Fault::none; }
 };
-io::Task<Exchange> exchange(std::shared_ptr<Pool> pool, std::string text);
+// still_wanted, where given, is asked once the connection is made: where it denies, nothing is sent.
+io::Task<Exchange> exchange(std::shared_ptr<Pool> pool, std::string text,
+                            std::function<bool()> still_wanted = {});
 
 }  // namespace cressrill::http
--- a/rig/cost.cpp
+++ b/rig/cost.cpp
@@ -108,8 +108,8 @@
     heap.on = was;
     return cost;
   }
-  void send(int seq, int worker, Nanos timeout) override {
-    host([&] { out_.send(seq, worker, timeout); });
+  void send(int seq, int worker, AttemptLimits limits) override {
+    host([&] { out_.send(seq, worker, limits); });
   }
   void let_go(int seq) override {
     host([&] { out_.let_go(seq); });
--- a/router/host.cpp
+++ b/router/host.cpp
@@ -10,6 +10,7 @@
 constexpr std::size_t kOutbox = 64 * 1024;       // bytes that may wait for one client
 constexpr std::size_t kWhole = 8 * 1024 * 1024;  // bytes of a whole answer
 constexpr int kInformed = 16;                    // 1xx answers ahead of one
+constexpr int kReleaseRounds = 5;                // in which all workers are told to let go of a state
 
 const char* word(Outcome outcome) {
   static constexpr const char* words[] = {"generated", "read",      "error",          "full",
@@ -18,6 +19,13 @@
   return words[static_cast<int>(outcome)];
 }
 
+// Whether the request of an attempt past the first so many has left this machine.
+template <class Runs>
+bool superseded(const Runs& runs, std::size_t attempts) {
+  return std::any_of(runs.begin() + static_cast<std::ptrdiff_t>(attempts), runs.end(),
+                     [](const auto& run) { return run->written; });
+}
+
 // An answer that was cut off, or one that cannot be read: both may have run, but the second is no lost machine.
 Outcome lost(http::Fault fault) {
   const bool cut = fault == http::Fault::none || fault == http::Fault::closed;
@@ -44,6 +52,7 @@
       posted_(loop),
       policy_(make(station.deployment, seed, loop.now(), *this)),
       errands_(loop),
+      releases_(loop),
       pump_(loop) {
   pump_.spawn(pump());
 }
@@ -51,6 +60,7 @@
 Host::~Host() {
   pump_.cancel();
   errands_.cancel();
+  releases_.cancel();
   for (const auto& ask : asks_)
     if (ask)
       for (const auto& run : ask->runs) run->scope.cancel();
@@ -159,13 +169,14 @@
 
 // Actions.
 
-void Host::send(int seq, int worker, Nanos timeout) {
+void Host::send(int seq, int worker, AttemptLimits limits) {
   const std::shared_ptr<Ask>& ask = asks_[static_cast<std::size_t>(seq)];
   const int k = static_cast<int>(ask->runs.size());
   ask->runs.push_back(std::make_unique<Run>(loop_, worker, fleet_.role(worker) == Role::reader));
   Run& run = *ask->runs.back();
   run.sent = loop_.now();
-  run.deadline = timeout > 0 ? std::min(ask->abandon_at, run.sent + timeout) : ask->abandon_at;
+  run.deadline = limits.timeout > 0 ? std::min(ask->abandon_at, run.sent + limits.timeout) : ask->abandon_at;
+  run.begin_by = limits.begin_by;
   if (!run.reads && ask->state_run >= 0 && ask->runs[static_cast<std::size_t>(ask->state_run)]->holds_state)
     run.takes = ask->state_run;
   run.scope.spawn(attempt(ask, k));
@@ -176,7 +187,7 @@
   Ask& ask = *asks_[static_cast<std::size_t>(seq)];
   if (manner_.one_release) {
     counters_.let_go();
-    return errands_.spawn(release_all(asks_[static_cast<std::size_t>(seq)], ask.runs.size()));
+    return releases_.spawn(release_all(asks_[static_cast<std::size_t>(seq)], ask.runs.size()));
   }
   for (std::size_t k = 0; k < ask.runs.size(); ++k) {
     const bool awaited = std::ranges::any_of(
@@ -256,15 +267,26 @@
 
 io::Task<> Host::out_of_time(std::shared_ptr<Ask> ask, int k) {
   const Run& run = *ask->runs[static_cast<std::size_t>(k)];
+  if (run.begin_by < run.deadline) {
+    co_await loop_.sleep_until(run.begin_by);
+    // Its last byte has not left, and may not from now on.
+    const bool idle = !run.written || manner_.unwritten_idle;
+    if (!run.whole) co_return end(*ask, k, idle ? Outcome::not_sent : Outcome::connection_lost);
+  }
   co_await loop_.sleep_until(run.deadline);
   if (!run.begun) end(*ask, k, Outcome::timed_out);
 }
 
-// A stream has no deadline, but one that stands still has broken: its engine hangs, or its client reads nothing. Watched
-// from its first event on: the attempt's own deadline may be far off.
+// A stream has no deadline, but one that stands still has broken: its engine hangs. Watched from its first event on: the
+// attempt's own deadline may be far off. While its client is the slower one it is not read, and nothing can be said of
+// its engine; a client that takes nothing at all is ended by its connection (http::Server::limit_write_stall()).
 io::Task<> Host::out_of_life(std::shared_ptr<Ask> ask, int k) {
   const Run& run = *ask->runs[static_cast<std::size_t>(k)];
-  while (loop_.now() - run.heard < station_.stall) co_await loop_.sleep_until(run.heard + station_.stall);
+  for (;;) {
+    const io::Nanos from = run.held_back ? loop_.now() : run.heard;
+    if (loop_.now() - from >= station_.stall) break;
+    co_await loop_.sleep_until(from + station_.stall);
+  }
   end(*ask, k, Outcome::connection_lost);
 }
 
@@ -276,11 +298,7 @@
     if (!co_await lease.take())
       co_return end(*ask, k, lease.crowded() ? Outcome::not_sent : Outcome::connect_failed);
     run.stood = lease->used_before ? lease->stood : -1;
-    // Rule 3, for a drain that was told after the decision, while the connection was being made.
-    if (link.not_ready_since > run.sent && loop_.now() - link.not_ready_since > station_.drain_grace / 2)
-      co_return end(*ask, k, Outcome::not_sent);
-    // Nothing begins for a client that left, or was answered, while the connection was being made.
-    if (ask->client_left || ask->final != Final::none) co_return end(*ask, k, Outcome::not_sent);
+    if (!may_begin(*ask, run)) co_return end(*ask, k, Outcome::not_sent);
     run.written = true;
     const io::Moved moved = co_await send_to(*ask, k, *lease);
     if (!moved.ok()) {
@@ -290,6 +308,7 @@
       const bool idle = moved.bytes == 0 || manner_.unwritten_idle;
       co_return end(*ask, k, idle ? Outcome::connect_failed : Outcome::connection_lost);
     }
+    run.whole = true;
     http::Head head;
     http::Fault fault{};
     for (int i = 0; i == 0 || (fault == http::Fault::none && head.status / 100 == 1 && i < kInformed); ++i)
@@ -311,6 +330,15 @@
   }
 }
 
+// Asked where the first byte would leave: much may have happened since the decision, while the connection was being made.
+bool Host::may_begin(const Ask& ask, const Run& run) const {
+  // Rule 3, for a drain that was told meanwhile.
+  const io::Nanos not_ready_since = fleet_.at(run.worker).not_ready_since;
+  if (not_ready_since > run.sent && loop_.now() - not_ready_since > station_.drain_grace / 2) return false;
+  if (run.ended || loop_.now() >= run.deadline || loop_.now() >= run.begin_by) return false;
+  return !ask.client_left && ask.final == Final::none;
+}
+
 Try Host::described(const Ask& ask, int k) const {
   const Run& run = *ask.runs[static_cast<std::size_t>(k)];
   Try out{k, run.reads, fleet_.at(run.worker).listed.address, {}, run.deadline - loop_.now()};
@@ -392,7 +420,7 @@
       if (noted.heard) report = noted;
     }
     if (fault != http::Fault::none) break;
-    while (ask.outbox.size() > kOutbox) co_await ask.drained.wait();
+    if (ask.outbox.size() > kOutbox) co_await wait_for_client(ask, run);
   }
   const bool whole =
       (last || manner_.whole_without_last) && fault == http::Fault::none && !connection.reader->more();
@@ -406,38 +434,66 @@
   co_return whole;
 }
 
+io::Task<> Host::wait_for_client(Ask& ask, Run& run) {
+  run.held_back = true;
+  while (ask.outbox.size() > kOutbox) co_await ask.drained.wait();
+  run.held_back = false;
+  run.heard = loop_.now();
+}
+
 // Tells a reader to let go of what a read left there.
 void Host::release(Ask& ask, int k) {
   Run& run = *ask.runs[static_cast<std::size_t>(k)];
   run.holds_state = false;
   Link& link = fleet_.at(run.worker);
   counters_.let_go();
-  errands_.spawn(release_at(link.pool, ask.talk->release(k, link.listed.address)));
+  releases_.spawn(release_at(link.pool, ask.talk->release(k, link.listed.address)));
 }
 
-// Tells one worker after another until one has heard it: the last reader first, then those that were heard of last. Guards
-// rule 5 where most workers are silent: a call that is not answered soon stays open, and the next worker is told beside
-// it. Once another attempt is out it is left to the next release: a late one could take the state of a newer read.
+// Tells one worker after another until one has heard it. Guards rule 5 where most workers are silent: a call that is not
+// answered soon stays open, and the next worker is told beside it. Once the request of a later attempt has left it is left to
+// the next release: a late one could take the state of a newer read.
 io::Task<> Host::release_all(std::shared_ptr<Ask> ask, std::size_t attempts) {
   const io::Nanos limit = station_.deployment.pin_limit, until = loop_.now() + limit;
-  std::vector<int> order = fleet_.ready();
-  std::ranges::stable_sort(order, std::greater{}, [&](int w) { return fleet_.at(w).heard; });
-  for (const auto& run : ask->runs)
-    if (run->reads) std::erase(order, run->worker), order.insert(order.begin(), run->worker);
-  if (order.empty()) co_return;
+  const std::vector<int> order = release_order(*ask);
   bool heard = false;
   io::Signal news(loop_);
   io::Scope calls(loop_);
-  for (std::size_t i = 0; !heard && ask->runs.size() == attempts && loop_.now() < until; ++i) {
-    const io::Nanos next = loop_.now() + limit / 40;
-    if (const Link* link = i < order.size() * 4 ? fleet_.find(order[i % order.size()]) : nullptr)
-      calls.spawn(
-          [](std::shared_ptr<http::Pool> pool, std::string text, bool& ok, io::Signal& told) -> io::Task<> {
-            ok |= (co_await http::exchange(std::move(pool), std::move(text))).ok();
-            told.notify();
-          }(link->pool, ask->talk->release(0, link->listed.address), heard, news));
-    co_await io::wait_until(loop_, news, next);
+  const auto over = [&] { return heard || superseded(ask->runs, attempts) || loop_.now() >= until; };
+  io::Nanos pause = limit / 40;
+  // Each round of calls that fail at once is followed by a longer pause: a worker may hold too many connections just now.
+  for (int round = 0; round < kReleaseRounds; ++round, pause *= 2) {
+    for (const int worker : order) {
+      calls.spawn(release_once(ask, attempts, worker, heard, news));
+      co_await io::wait_until(loop_, news, loop_.now() + limit / 40);
+      if (over()) co_return;
+    }
+    const io::Nanos next = loop_.now() + pause;
+    while (!over() && loop_.now() < next) co_await io::wait_until(loop_, news, std::min(next, until));
   }
+  while (!over()) co_await io::wait_until(loop_, news, until);
+}
+
+// The workers in the order in which they are told: the last reader first, then those that were heard of last.
+std::vector<int> Host::release_order(const Ask& ask) const {
+  std::vector<int> order = fleet_.ready();
+  std::ranges::stable_sort(order, std::greater{}, [&](int w) { return fleet_.at(w).heard; });
+  for (const auto& run : ask.runs) {
+    if (!run->reads) continue;
+    std::erase(order, run->worker);
+    order.insert(order.begin(), run->worker);
+  }
+  return order;
+}
+
+io::Task<> Host::release_once(std::shared_ptr<Ask> ask, std::size_t attempts, int worker, bool& heard,
+                              io::Signal& told) {
+  const Link* link = fleet_.find(worker);
+  if (link == nullptr) co_return;
+  const std::string text = ask->talk->release(0, link->listed.address);
+  const std::function<bool()> still_wanted = [&] { return !superseded(ask->runs, attempts); };
+  heard |= (co_await http::exchange(link->pool, text, still_wanted)).ok();
+  told.notify();
 }
 
 io::Task<> Host::release_at(std::shared_ptr<http::Pool> pool, std::string text) {
@@ -460,9 +516,7 @@
     co_await answer.whole(reply->status, reply->fields, reply->body);
     co_return;
   }
-  std::shared_ptr<Ask> ask = take(std::move(brief), std::move(std::get<std::unique_ptr<Talk>>(read)));
-  Ask& it = *ask;
-  co_await converse(it, answer, std::move(ask));
+  co_await converse(take(std::move(brief), std::move(std::get<std::unique_ptr<Talk>>(read))), answer);
 }
 
 std::shared_ptr<Host::Ask> Host::take(Brief brief, std::unique_ptr<Talk> talk) {
@@ -481,24 +535,15 @@
   return ask;
 }
 
-io::Task<> Host::converse(Ask& ask, http::Answer& answer, std::shared_ptr<Ask> self) {
+// The client's side of a sequence, until its answer is written or it has left.
+io::Task<> Host::converse(std::shared_ptr<Ask> of, http::Answer& answer) {
+  Ask& ask = *of;
   io::Scope watch(loop_);
-  watch.spawn([](Ask& a, http::Answer& to) -> io::Task<> {
-    co_await to.peer_gone();
-    a.client_left = true;
-    a.news.notify();
-  }(ask, answer));
+  watch.spawn(watch_client(of, answer));
   bool begun = false;
   for (;;) {
-    if (ask.client_left || answer.broken()) {
-      ask.client_left = true;
-      ask.drained.notify();
-      counters_.answered(type_name(ask), "left");
-      log_.info("client left", {{"sequence", ask.brief.id}, {"answer", word(ask.final)}});
-      put({Input::What::client_left, std::move(self), 0, {}, 0, {}, {}});
-      answer.break_off();
-      co_return;
-    }
+    if (answer.broken()) client_left(of, answer);
+    if (ask.client_left) co_return;
     if (!ask.outbox.empty()) {
       if (!std::exchange(begun, true)) answer.begin_with_part(200, protocol_.stream_fields());
       // The two texts change places, each with its room.
@@ -515,6 +560,23 @@
   co_await conclude(ask, answer, begun);
 }
 
+// Guards against attempts that go on for a client that has left while a write to it does not end.
+io::Task<> Host::watch_client(std::shared_ptr<Ask> ask, http::Answer& answer) {
+  co_await answer.peer_gone();
+  client_left(ask, answer);
+}
+
+void Host::client_left(const std::shared_ptr<Ask>& ask, http::Answer& answer) {
+  if (std::exchange(ask->client_left, true)) return;
+  counters_.answered(type_name(*ask), "left");
+  log_.info(answer.stalled() ? "client stalled" : "client left",
+            {{"sequence", ask->brief.id}, {"answer", word(ask->final)}});
+  put({Input::What::client_left, ask, 0, {}, 0, {}, {}});
+  ask->drained.notify();
+  ask->news.notify();
+  answer.break_off();  // a write that waits ends with an error
+}
+
 io::Task<> Host::conclude(Ask& ask, http::Answer& answer, bool begun) {
   const bool late = loop_.now() + station_.deployment.tick * 4 >= ask.abandon_at;
   const Closing closing = ask.talk->close(ask.final, late, ask.retry_after);
@@ -530,7 +592,6 @@
   }
   if (closing.close_after) answer.close_after();
   co_await answer.end(closing.last);
-  if (closing.close_after) answer.socket().close();
 }
 
 }  // namespace cressrill::router
--- a/router/host.h
+++ b/router/host.h
@@ -31,6 +31,8 @@
   void list_failed();
   const Fleet& fleet() const { return fleet_; }
   std::size_t live() const { return live_; }
+  // Whether a worker is being told to let go of a state: nobody else will, should this process end before.
+  bool releasing() const { return !releases_.empty(); }
   // For each worker, what the decisions believe to be out there beside what is out on sockets. The two are the same
   // whenever no input waits to be told.
   struct Load {
@@ -49,15 +51,18 @@
     bool out{true};      // the decisions have not been told of its end
     bool ended{};        // its end is in the queue, or told
     bool written{};      // some of its request may have left
+    bool whole{};        // all of it has
     bool begun{};        // its stream flows
     bool holds_state{};  // a read whose state waits at the reader
     int takes{-1};       // a write: the read whose state it fetches
     std::string state;   // of a read, as its answer named it
     io::Nanos sent{};
     io::Nanos deadline{};
-    io::Nanos first{};    // its first event; 0: none yet
-    io::Nanos stood{-1};  // how long its connection had been kept unused; negative: a new one
-    io::Nanos heard{};    // last whole event of its stream
+    io::Nanos begin_by{kNever};  // its request must have been written by then
+    io::Nanos first{};           // its first event; 0: none yet
+    io::Nanos stood{-1};         // how long its connection had been kept unused; negative: a new one
+    io::Nanos heard{};           // last whole event of its stream
+    bool held_back{};            // its stream is not read on until the client has taken what waits for it
     io::Scope scope;
   };
   // State of one sequence.
@@ -91,7 +96,7 @@
     std::shared_ptr<const core::WorkerList> list;
   };
 
-  void send(int seq, int worker, Nanos timeout) override;
+  void send(int seq, int worker, AttemptLimits limits) override;
   void let_go(int seq) override;
   void cancel(int seq, int attempt) override;
   void reject(int seq, Nanos retry_after) override;
@@ -106,21 +111,28 @@
   void tell(Input& input);
   void tell_ended(Ask& ask, const Input& input);
   std::shared_ptr<Ask> take(Brief brief, std::unique_ptr<Talk> talk);
-  io::Task<> converse(Ask& ask, http::Answer& answer, std::shared_ptr<Ask> self);
+  io::Task<> converse(std::shared_ptr<Ask> ask, http::Answer& answer);
+  io::Task<> watch_client(std::shared_ptr<Ask> ask, http::Answer& answer);
+  void client_left(const std::shared_ptr<Ask>& ask, http::Answer& answer);
   io::Task<> conclude(Ask& ask, http::Answer& answer, bool begun);
   void settle(Ask& ask, Final final);
   const std::string& type_name(const Ask& ask) const;
 
   void end(Ask& ask, int k, Outcome outcome, double kept = 0, const Report& report = {});
   io::Task<> attempt(std::shared_ptr<Ask> ask, int k);
+  bool may_begin(const Ask& ask, const Run& run) const;
   Try described(const Ask& ask, int k) const;
   io::Task<io::Moved> send_to(Ask& ask, int k, http::Connection& connection);
   io::Task<> out_of_time(std::shared_ptr<Ask> ask, int k);
   io::Task<> out_of_life(std::shared_ptr<Ask> ask, int k);
   void answered(Ask& ask, int k, const http::Head& head, std::string body, const Report& report);
   io::Task<bool> stream(Ask& ask, int k, http::Connection& connection, const Report& report);
+  io::Task<> wait_for_client(Ask& ask, Run& run);
   void release(Ask& ask, int k);
   io::Task<> release_all(std::shared_ptr<Ask> ask, std::size_t attempts);
+  io::Task<> release_once(std::shared_ptr<Ask> ask, std::size_t attempts, int worker, bool& heard,
+                          io::Signal& told);
+  std::vector<int> release_order(const Ask& ask) const;
   io::Task<> release_at(std::shared_ptr<http::Pool> pool, std::string text);
 
   io::Loop& loop_;
@@ -137,7 +149,8 @@
   std::vector<Input> telling_;  // taken from the inbox; its room goes back there
   io::Signal posted_;
   std::unique_ptr<Policy> policy_;
-  io::Scope errands_;  // wakes, and messages to let go of states
+  io::Scope errands_;   // wakes
+  io::Scope releases_;  // messages to let go of states
   io::Scope pump_;
 };
 
--- a/router/instance.cpp
+++ b/router/instance.cpp
@@ -12,6 +12,7 @@
           loop, *io::parse_address(station.listen),
           [this](http::Request& request, http::Answer& answer) { return host_.serve(request, answer); },
           {station.head_bytes, station.body_bytes}, station.connections) {
+  server_.limit_write_stall(station.stall);
   server_.refuse_with([this](int status, http::Fault fault) {
     counters_.refused(status);
     return core::error_body(status, std::string("The request cannot be read: ") + http::word(fault) + ".",
--- a/simhost/host.cpp
+++ b/simhost/host.cpp
@@ -149,8 +149,9 @@
 
   void elapsed(Nanos now) { policy_->woke(now); }
 
-  void send(int seq, int worker, Nanos timeout) override {
-    record(16).number(sequences_.id(seq), 8).f64(millis(timeout)).number(workers_.id(worker), 4);
+  // The simulator's sends take effect at once: nothing can pass a time to begin by.
+  void send(int seq, int worker, AttemptLimits limits) override {
+    record(16).number(sequences_.id(seq), 8).f64(millis(limits.timeout)).number(workers_.id(worker), 4);
   }
   void let_go(int seq) override { record(9).number(sequences_.id(seq), 8); }
   void cancel(int seq, int attempt) override {
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -435,7 +435,7 @@
     if (q.stage != Stage::waiting && q.stage != Stage::read) return false;
     const int needed = q.stage == Stage::waiting && readers() > 0 ? 2 : 1;
     return static_cast<int>(q.attempts.size()) + needed > d_.attempts_cap ||
-           (q.maybe_ran && type(q).effect == Effect::once_only) ||
+           (q.maybe_ran && repeat_closed(q)) ||
            now_ + nanos(s_.first_wait + (needed - 1) * s_.read_wait) > q.abandon_at;
   }
   bool too_long_in_line(const Sequence& q) const {
@@ -746,10 +746,16 @@
   bool may_have_run(const Sequence& q) const {
     return q.maybe_ran || std::ranges::any_of(q.attempts, [](auto& a) { return a.out && !a.reads; });
   }
+  Nanos repeat_until(const Sequence& q) const { return q.maybe_ran_since + type(q).window - 2 * d_.tick; }
+  // It may not run twice, or is not recognised as a repeat any more.
+  bool repeat_closed(const Sequence& q) const {
+    const Effect effect = type(q).effect;
+    return effect == Effect::once_only || (effect == Effect::tokened && now_ > repeat_until(q));
+  }
   bool stays_in_group(const Sequence& q, const Worker& w) const {
     const TrafficType& t = type(q);
     if (t.effect == Effect::repeatable || !may_have_run(q)) return true;
-    if (t.effect == Effect::once_only || now_ > q.maybe_ran_since + t.window - 2 * d_.tick) return false;
+    if (repeat_closed(q)) return false;
     const Worker& first = at(q.maybe_ran_at);
     return t.group == Group::all || (t.group == Group::zone ? w.zone == first.zone : w.cell == first.cell);
   }
@@ -765,6 +771,9 @@
     Worker& w = at(worker);
     if (!may_send(q, reads) || !may_send(q, w, reads)) return;
     Attempt a{.worker = worker, .reads = reads, .out = true, .sent = now_};
+    const bool repeats = !reads && may_have_run(q);
+    // Rule 2, where connecting takes long: the decision is in the window, and the request's first byte is not.
+    const Nanos begin_by = repeats && type(q).effect == Effect::tokened ? repeat_until(q) : kNever;
     if (reads) {
       const Holding held = promise(q, worker);
       a.promised = held.tokens, a.promised_at = held.at;
@@ -777,14 +786,14 @@
       a.expected = nanos(s_.first_wait);
       w.stream_tokens += a.tokens;
       w.since_report += a.tokens;
-      if (!q.maybe_ran) q.maybe_ran_at = worker, q.maybe_ran_since = now_;
+      if (!repeats) q.maybe_ran_at = worker, q.maybe_ran_since = now_;
     }
     ++s_.sends[reads], ++w.pending;
     w.late_from = std::min(w.late_from, now_ + late_after(a));
     watch(worker);
     q.attempts.push_back(a);
     const bool last = static_cast<int>(q.attempts.size()) + (reads ? 2 : 1) > d_.attempts_cap;
-    out_.send(q.id, worker, last ? 0 : late_after(a));
+    out_.send(q.id, worker, {last ? 0 : late_after(a), begin_by});
   }
 
   // The holder table.
--- a/src/policy.h
+++ b/src/policy.h
@@ -10,10 +10,16 @@
 
 namespace cressrill {
 
+// The times that bound one attempt.
+struct AttemptLimits {
+  Nanos timeout{};         // after its decision; 0: until the client gives up
+  Nanos begin_by{kNever};  // its request must have been written by then: a repeat is not recognised later
+};
+
 class Actions {
  public:
   virtual ~Actions() = default;
-  virtual void send(int seq, int worker, Nanos timeout) = 0;  // timeout 0: until the client gives up
+  virtual void send(int seq, int worker, AttemptLimits limits) = 0;
   virtual void let_go(int seq) = 0;
   virtual void cancel(int seq, int attempt) = 0;
   virtual void reject(int seq, Nanos retry_after) = 0;
--- /dev/null
+++ b/tests/attempt_begin_test.cpp
@@ -0,0 +1,124 @@
+// What may have happened between the decision for an attempt and the moment at which its first byte would leave: the
+// connection came up late, and a drain was told, the client left, or the time to begin was over.
+#include "raw_server.h"
+#include "site.h"
+
+namespace cressrill::testing {
+
+namespace {
+
+// Drains count after 40 ms of the 250 that a connection may take; repeats are known for 150 ms.
+json settings_of(const std::string& effect) {
+  json out = small_settings();
+  out["obligations"]["stopSendingWithinMs"] = 80.0;
+  out["services"][0]["effect"] = effect;
+  out["services"][0]["windowMs"] = 150.0;
+  return out;
+}
+
+// A site with one reader, and one writer that the test plays by hand.
+struct ManualWriter {
+  explicit ManualWriter(const std::string& effect = "retryable") : site(1, 0, settings_of(effect)) {
+    list("up");
+  }
+  void list(const std::string& state) {
+    site.agent.put(Site::target("late", server.address().text(), false, state));
+    site.pass(5);
+  }
+  // The connection that hangs comes up now; what has come on it.
+  std::string let_in() {
+    server.let_in();
+    std::unique_ptr<RawConnection> taken;
+    without_time(site.loop, [&] { return taken || (taken = server.accept()); });
+    REQUIRE(taken);
+    without_time(site.loop, [&] {
+      taken->read();
+      return taken->ended() || taken->reset() || !taken->text().empty();
+    });
+    return taken->text();
+  }
+  // The same once the attempt has ended, so that its connection may not come up at all.
+  std::string came_after_the_attempt() {
+    server.let_in();
+    site.pass(300);
+    const auto taken = server.accept();
+    if (!taken) return "";
+    taken->read();
+    return taken->text();
+  }
+  // Of a request whose read has ended: the attempt that has come here.
+  std::unique_ptr<RawConnection> first_attempt() {
+    std::unique_ptr<RawConnection> taken;
+    for (int i = 0; i < 200 && !taken; ++i) {
+      site.pass(1);
+      taken = server.accept();
+    }
+    REQUIRE(taken);
+    site.pass(1);
+    taken->read();
+    REQUIRE(taken->text().starts_with("POST"));
+    return taken;
+  }
+  HangingServer server;
+  Site site;
+};
+
+// Until the read has ended and the write's connection hangs.
+void wait_for_connect(Site& site) {
+  for (int i = 0; i < 200 && site.states.empty(); ++i) site.pass(1);
+  REQUIRE(!site.states.empty());
+  site.pass(5);
+}
+
+}  // namespace
+
+TEST_CASE("a connection that comes up late carries its request all the same") {
+  ManualWriter late;
+  late.server.hang();
+  late.site.send("a", Site::call("a1"));
+  wait_for_connect(late.site);
+  CHECK(late.let_in().starts_with("POST /v1/chat/completions"));
+}
+
+// Guards rule 3.
+TEST_CASE("a drain is told while the connection comes up: nothing is sent there after its grace") {
+  ManualWriter late;
+  late.server.hang();
+  late.site.send("a", Site::call("a1"));
+  wait_for_connect(late.site);
+  late.list("draining");
+  late.site.pass(60);
+  CHECK(late.let_in().empty());
+}
+
+TEST_CASE("the client leaves while the connection comes up: nothing is sent") {
+  ManualWriter late;
+  late.server.hang();
+  RawClient client(late.site.node->address());
+  client.write(Site::call("a1"));
+  wait_for_connect(late.site);
+  client.close();
+  late.site.pass(5);
+  CHECK(late.site.node->host().live() == 0);
+  CHECK(late.came_after_the_attempt().empty());
+}
+
+// Guards rule 2: a repeat that is not recognised has its effect twice.
+TEST_CASE(
+    "a repeat whose connection comes up after its window is not sent, and the client is answered at once") {
+  ManualWriter late("dedup");
+  Site& s = late.site;
+  s.send("a", Site::call("a1"));
+  const auto first = late.first_attempt();
+  late.server.hang();
+  s.pass(100);
+  first->close(true);
+  s.pass(40);  // the second attempt connects
+  CHECK(!s.heard.contains("a"));
+  s.pass(20);
+  CHECK(late.came_after_the_attempt().empty());
+  CHECK(s.answer("a").status != 0);
+  CHECK(s.answer("a").took < 600 * kMs);
+}
+
+}  // namespace cressrill::testing
--- /dev/null
+++ b/tests/release_test.cpp
@@ -0,0 +1,46 @@
+// Letting go of states at workers, where that crosses with further attempts of the same request.
+#include "raw_server.h"
+#include "site.h"
+
+namespace cressrill::testing {
+
+namespace {
+
+// A read that leaves a state and whose answer is lost.
+const Act kAnswerLost{"", Act::Then::reset, 10 * kMs, false, true};
+
+}  // namespace
+
+// Guards rule 5: while attempts fail to connect, the time that a state may be held keeps running.
+TEST_CASE("a state is let go of in time while further attempts do not get a connection") {
+  HangingServer hung;
+  hung.hang();
+  Site s(1, 1);
+  s.worker("reader-0").acts = {kAnswerLost};
+  s.send("a", Site::call("a1"));
+  s.until([&] { return s.lines("POST") == 1; });
+  s.agent.put(Site::target("late", hung.address().text(), true));
+  s.until([&] { return !s.states.empty(); });
+  s.worker("reader-0").die();
+  const io::Nanos held = s.loop.now();
+  s.until([&] { return s.states.empty() || s.loop.now() - held > 1300 * kMs; });
+  CHECK(s.states.empty());
+  CHECK(s.loop.now() - held <= 300 * kMs);
+}
+
+// Guards against a late call that takes the state of a newer read.
+TEST_CASE("once a later attempt's request has left, a release that is under way tells no further worker") {
+  Site s(2, 1);
+  for (const char* name : {"reader-0", "reader-1"}) s.worker(name).acts = {kAnswerLost};
+  s.worker("writer-0").acts = {{"", Act::Then::keep, 100 * kMs, true}};
+  s.send("a", Site::call("a1"));
+  s.until([&] { return !s.states.empty(); });
+  Worker& first = s.worker(s.states.begin()->second);
+  Worker& second = s.worker(first.name == "reader-0" ? "reader-1" : "reader-0");
+  first.silent = true;  // and so the next worker is told after a fortieth of the limit, 25 ms
+  second.acts.clear();
+  CHECK(s.answer("a").status == 200);
+  CHECK(s.lines("POST") == 3);
+}
+
+}  // namespace cressrill::testing
--- /dev/null
+++ b/tests/shutdown_test.cpp
@@ -0,0 +1,133 @@
+// The end of a process: what is still owed when it is told to end, and the orders in which that can cross with what comes.
+#include "raw_server.h"
+#include "site.h"
+
+namespace cressrill::testing {
+
+namespace {
+
+bool served_whole(const std::string& text) {
+  return text.starts_with("HTTP/1.1 200") && text.ends_with("0\r\n\r\n");
+}
+
+}  // namespace
+
+// Guards rule 5: nobody else knows of the state.
+TEST_CASE("a process that is told to end waits until a worker has heard that a state is let go of") {
+  Site s(1, 1);
+  s.worker("writer-0").acts = std::deque<Act>(
+      20, {http::response_text(503, "X-Rejected: 1\r\n", "", true), Act::Then::keep, 30 * kMs});
+  s.send("a", Site::call("a1"));
+  s.until([&] { return !s.states.empty(); });
+  s.worker("reader-0").die();
+  s.until([&] { return s.node->host().live() == 0; });
+  REQUIRE(!s.states.empty());
+  CHECK(!s.node->settled());
+  s.until([&] { return s.node->settled(); });
+  CHECK(s.states.empty());
+}
+
+TEST_CASE("a process whose workers all are gone is not held up by a state for longer than its limit") {
+  Site s(1, 1);
+  s.worker("writer-0").acts = std::deque<Act>(
+      20, {http::response_text(503, "X-Rejected: 1\r\n", "", true), Act::Then::keep, 30 * kMs});
+  s.send("a", Site::call("a1"));
+  s.until([&] { return !s.states.empty(); });
+  for (auto& w : s.workers) w->die();
+  s.until([&] { return s.node->host().live() == 0; });
+  const io::Nanos over = s.loop.now();
+  s.until([&] { return s.node->settled(); });
+  CHECK(s.loop.now() - over <= s.placement->station.deployment.pin_limit);
+}
+
+// Guards against a request that the machine has accepted and that nobody reads: its connection would be reset.
+TEST_CASE("a connection that the machine accepted before the listener closes is answered") {
+  Site s(1, 1);
+  RawClient client(s.node->address());
+  client.write(Site::call("a1"));
+  s.node->close();  // the scheduler has not heard of that connection yet
+  s.pass(50);
+  client.read();
+  CHECK(client.text().starts_with("HTTP/1.1 503"));
+  CHECK(client.ended());
+  CHECK(!client.reset());
+  CHECK(s.lines("POST") == 0);
+}
+
+TEST_CASE("GET /up denies once the end is announced, while requests are served as before") {
+  Site s(1, 1);
+  s.node->announce_end();
+  s.send("up", "GET /up HTTP/1.1\r\nHost: h\r\n\r\n");
+  CHECK(s.answer("up").status == 503);
+  s.send("a", Site::call("a1"));
+  CHECK(s.answer("a").whole);
+  CHECK(!s.answer("a").closed);
+}
+
+// Guards against a request of which a part has been read and that is dropped without an answer.
+TEST_CASE("half a request as connections begin to end: the rest is awaited, and it is served") {
+  Site s(1, 1);
+  const std::string request = Site::call("a1");
+  for (const std::size_t part : {std::size_t{40}, request.size() - 5}) {
+    CAPTURE(part);
+    RawClient client(s.node->address());
+    client.write(request.substr(0, part));
+    s.pass(20);
+    s.node->drain();
+    s.pass(20);
+    client.write(request.substr(part));
+    s.pass(400);
+    client.read();
+    CHECK(served_whole(client.text()));
+    CHECK(client.ended());
+    CHECK(!client.reset());
+  }
+}
+
+TEST_CASE(
+    "half a request as the process is about to end: it is refused once it is whole, and nothing is sent") {
+  for (const bool on_a_resting_connection : {false, true}) {
+    CAPTURE(on_a_resting_connection);
+    Site s(1, 1);
+    const std::string request = Site::call("a1");
+    RawClient client(s.node->address());
+    if (on_a_resting_connection) {
+      client.write("GET /up HTTP/1.1\r\nHost: h\r\n\r\n");
+      s.pass(10);
+      client.read();
+      client.forget_text();
+    }
+    client.write(request.substr(0, 40));
+    s.pass(20);
+    s.node->close();
+    s.pass(20);
+    client.write(request.substr(40));
+    s.pass(50);
+    client.read();
+    CHECK(client.text().starts_with("HTTP/1.1 503"));
+    CHECK(client.text().find("retry-after: 0.2") != std::string::npos);
+    CHECK(client.ended());
+    CHECK(!client.reset());
+    CHECK(s.lines("POST") == 0);
+  }
+}
+
+TEST_CASE(
+    "a stream that flows as the process is about to end comes to its end, and its connection ends in order") {
+  Site s(1, 1);
+  s.worker("writer-0").events = 100;
+  RawClient client(s.node->address());
+  client.write(Site::call("a1"));
+  s.pass(200);
+  s.node->close();
+  s.pass(100);
+  CHECK(!s.node->settled());
+  s.pass(2500);
+  client.read();
+  CHECK(served_whole(client.text()));
+  CHECK(client.ended());
+  CHECK(!client.reset());
+  CHECK(s.node->settled());
+}
+
+}  // namespace cressrill::testing
--- a/tests/site.h
+++ b/tests/site.h
@@ -301,6 +301,13 @@
     throw std::invalid_argument(name);
   }
   void pass(std::int64_t ms) { testing::pass(loop, ms); }
+  // Runs until that holds, for ten seconds of handed time at most.
+  template <class Condition>
+  bool until(Condition condition) {
+    const io::Nanos last = loop.now() + 10 * io::kSecond;
+    loop.run_until([&] { return condition() || loop.now() > last; });
+    return condition();
+  }
 
   static std::string prompt(int words = 100) {
     std::string text;
