A request's own fields are passed on: workers know a keyed repeat by them

Ruled out: the body and X-Call-Id (passed on unchanged, or all sites would fail). Lines at fault: platform/codec.cpp Call::request(), which wrote a head of its own with the id and the budget alone. Test: 'a request's own fields reach reader and writer', fails without it.

--- a/tests/attempt_begin_test.cpp
+++ b/tests/attempt_begin_test.cpp
@@ -118,7 +118,7 @@
   s.pass(20);
   CHECK(late.came_after_the_attempt().empty());
   CHECK(s.answer("a").status != 0);
-  CHECK(s.answer("a").took < 600 * kMs);
+  CHECK(s.answer("a").took < 300 * kMs);  // the connection may hang for longer
 }
 
 }  // namespace cressrill::testing
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -99,6 +99,29 @@
   CHECK(s.node->codec().open() == 0);
 }
 
+// Guards rule 2: workers know the repeat of a keyed request by a field that the client sent.
+TEST_CASE("a request's own fields reach reader and writer, those of its connection do not") {
+  Site s(1, 1);
+  std::string text = Site::call("a1");
+  text.insert(text.find("Host:"),
+              "Idempotency-Key: 7c1e\r\nConnection: Close, X-Hop\r\nX-Hop: 1\r\nTE: trailers\r\n"
+              "Keep-Alive: 5\r\nX-Later: kept as it is\r\n");
+  s.send("a", text);
+  CHECK(s.answer("a").whole);
+  for (const char* name : {"reader-0", "writer-0"}) {
+    REQUIRE(s.worker(name).heads.size() == 1);
+    const std::string& fields = s.worker(name).heads[0];
+    CAPTURE(fields);
+    CHECK(fields.find("idempotency-key: 7c1e\n") != std::string::npos);
+    CHECK(fields.find("x-later: kept as it is\n") != std::string::npos);
+    CHECK(fields.find("x-call-id: a1\n") != std::string::npos);
+    for (const char* gone : {"x-hop", "te:", "keep-alive", "connection:", "service.internal"})
+      CHECK(fields.find(gone) == std::string::npos);
+    CHECK(fields.find("x-budget-ms:") == fields.rfind("x-budget-ms:"));
+    CHECK(fields.find("content-length:") == fields.rfind("content-length:"));
+  }
+}
+
 TEST_CASE("loads are read from heads and from comments; one that cannot be read is none") {
   Site s(0, 0);
   const auto& codec = s.node->codec();
--- a/tests/release_test.cpp
+++ b/tests/release_test.cpp
@@ -25,7 +25,7 @@
   const io::Nanos held = s.loop.now();
   s.until([&] { return s.states.empty() || s.loop.now() - held > 1300 * kMs; });
   CHECK(s.states.empty());
-  CHECK(s.loop.now() - held <= 300 * kMs);
+  CHECK(s.loop.now() - held <= 120 * kMs);  // no attempt has failed yet: a connection hangs for 250 ms
 }
 
 // Guards against a late call that takes the state of a newer read.
@@ -34,9 +34,11 @@
   for (const char* name : {"reader-0", "reader-1"}) s.worker(name).acts = {kAnswerLost};
   s.worker("writer-0").acts = {{"", Act::Then::keep, 100 * kMs, true}};
   s.send("a", Site::call("a1"));
-  s.until([&] { return !s.states.empty(); });
-  Worker& first = s.worker(s.states.begin()->second);
+  s.until([&] { return s.lines("POST") == 1; });
+  Worker& first = s.worker(s.worker("reader-0").seen.empty() ? "reader-1" : "reader-0");
   Worker& second = s.worker(first.name == "reader-0" ? "reader-1" : "reader-0");
+  s.agent.put(Site::target(first, "draining"));  // the second attempt goes to the other reader
+  s.until([&] { return !s.states.empty(); });
   first.silent = true;  // and so the next worker is told after a fortieth of the limit, 25 ms
   second.acts.clear();
   CHECK(s.answer("a").status == 200);
--- a/tests/site.h
+++ b/tests/site.h
@@ -54,7 +54,8 @@
   int events{3};
   std::deque<Act> acts;
   std::vector<std::string> seen;   // a line for each request that came whole
-  std::vector<std::string> texts;  // of those that are no release: body
+  std::vector<std::string> texts;  // of those that are no release: body,
+  std::vector<std::string> heads;  // and fields, a line each
   int open{};                      // requests that came and whose connection is neither answered nor ended
   int connections{};
   bool silent{};  // what comes is taken, and nothing is done
@@ -103,6 +104,9 @@
       const std::string id(head.field("x-call-id").value_or("none"));
       seen.push_back(fmt::format("{} {} {}", head.method, target, id));
       texts.push_back(body);
+      heads.emplace_back();
+      for (const auto& [field, value] : head.fields)
+        heads.back().append(field).append(": ").append(value).append("\n");
       Open in_hand(open);
       io::Scope watch(loop_);
       watch.spawn([](io::Socket& to, Open& request) -> io::Task<> {
