Letting go begins where the state may lie, not at the reader of a later attempt

release_order() put the last reader of the whole request first, also one that a further attempt had just gone to: the call came there before its read had ended, counted as heard, and said nothing of the worker that may hold a state. Only the attempts that the release is for count now. With it the test 'once a later attempt's request has left' fails where a release goes on past that (5 attempts in place of 3); before, it passed by that order alone.

--- a/router/host.cpp
+++ b/router/host.cpp
@@ -455,7 +455,7 @@
 // the next release: a late one could take the state of a newer read.
 io::Task<> Host::release_all(std::shared_ptr<Ask> ask, std::size_t attempts) {
   const io::Nanos limit = station_.deployment.pin_limit, until = loop_.now() + limit;
-  const std::vector<int> order = release_order(*ask);
+  const std::vector<int> order = release_order(*ask, attempts);
   bool heard = false;
   io::Signal news(loop_);
   io::Scope calls(loop_);
@@ -475,13 +475,14 @@
 }
 
 // The workers in the order in which they are told: the last reader first, then those that were heard of last.
-std::vector<int> Host::release_order(const Ask& ask) const {
+std::vector<int> Host::release_order(const Ask& ask, std::size_t attempts) const {
   std::vector<int> order = fleet_.ready();
   std::ranges::stable_sort(order, std::greater{}, [&](int w) { return fleet_.at(w).heard; });
-  for (const auto& run : ask.runs) {
-    if (!run->reads) continue;
-    std::erase(order, run->worker);
-    order.insert(order.begin(), run->worker);
+  for (std::size_t k = 0; k < attempts; ++k) {
+    const Run& run = *ask.runs[k];
+    if (!run.reads) continue;
+    std::erase(order, run.worker);
+    order.insert(order.begin(), run.worker);
   }
   return order;
 }
--- a/router/host.h
+++ b/router/host.h
@@ -132,7 +132,7 @@
   io::Task<> release_all(std::shared_ptr<Ask> ask, std::size_t attempts);
   io::Task<> release_once(std::shared_ptr<Ask> ask, std::size_t attempts, int worker, bool& heard,
                           io::Signal& told);
-  std::vector<int> release_order(const Ask& ask) const;
+  std::vector<int> release_order(const Ask& ask, std::size_t attempts) const;
   io::Task<> release_at(std::shared_ptr<http::Pool> pool, std::string text);
 
   io::Loop& loop_;
