--- a/tests/attempt_begin_test.cpp
+++ b/tests/attempt_begin_test.cpp
@@ -121,4 +121,18 @@
   CHECK(s.answer("a").took < 300 * kMs);  // the connection may hang for longer
 }
 
+// Guards against what a worker sends unasked being taken for the beginning of its next answer.
+TEST_CASE("a kept connection on which half a line has come is not used again") {
+  Site s(1, 1);
+  s.worker("reader-0").acts = {{"HTTP/1.1 202 Accepted\r\ncontent-length: 19\r\n\r\n{\"cached_tokens\":77}",
+                                Act::Then::keep, 0, false, true, "HTTP/1.1 2", 60 * kMs}};
+  s.send("a", Site::call("a1"));
+  CHECK(s.answer("a").whole);
+  s.pass(100);
+  s.send("b", Site::call("b1"));
+  CHECK(s.answer("b").whole);
+  CHECK(s.worker("reader-0").connections == 2);
+  CHECK(s.lines("POST") == 4);
+}
+
 }  // namespace cressrill::testing
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -136,4 +136,33 @@
   CHECK(s.listed_ready("writer-0"));
 }
 
+TEST_CASE("discovery moves twice, and again as the process drains: the last agent's list is in force") {
+  Site s(1, 2);
+  RawServer first;  // takes the call and says nothing yet
+  s.node->move_discovery(first.address());
+  s.pass(5);
+  const auto call = first.accept();
+  REQUIRE(call);
+  Agent second(s.loop), third(s.loop);
+  for (Agent* agent : {&second, &third})
+    for (auto& w : s.workers) agent->put(Site::target(*w));
+  s.node->move_discovery(second.address());
+  s.pass(20);
+  REQUIRE(second.whole_lists() == 1);
+  const std::string empty = R"({"rev":900,"all":true,"targets":[]})";
+  call->write(http::response_text(200, "", empty, true));
+  s.pass(20);
+  CHECK(s.listed_ready("writer-0"));
+  s.node->drain();
+  s.node->move_discovery(third.address());
+  third.put(Site::target(s.worker("writer-0"), "draining"));
+  s.pass(20);
+  CHECK(!s.listed_ready("writer-0"));
+  s.send("a", Site::call("a1"));
+  CHECK(s.answer("a").whole);
+  CHECK(s.worker("writer-0").seen.empty());
+  s.scope.cancel();
+  s.node.reset();
+}
+
 }  // namespace cressrill::testing
