--- a/http/server.cpp
+++ b/http/server.cpp
@@ -118,8 +118,8 @@
   });
 }
 
-void Server::be_patient(Patience patience) {
-  patience_ = patience;
+void Server::set_timeouts(Timeouts timeouts) {
+  timeouts_ = timeouts;
   keeper_.spawn(end_overdue());
 }
 
@@ -139,7 +139,7 @@
 // At the bound the connection that has been quiet longest makes way: one that carries nothing, read or unread. Where all carry
 // a part of a request, the first of these is answered that there is no room.
 void Server::make_room() {
-  if (patience_.idle == 0) return;
+  if (timeouts_.idle == 0) return;
   Quiet* half_read = nullptr;
   for (Quiet& quiet : quiet_) {
     if (quiet.half_read()) {
@@ -215,11 +215,11 @@
 io::Task<Fault> Server::read_request(Session& session, Request& request) {
   request.body.clear();
   const bool first = session.requests++ == 0;
-  Quiet quiet(*this, session.socket, due(first ? patience_.first : patience_.idle), session.evicted,
+  Quiet quiet(*this, session.socket, due(first ? timeouts_.first : timeouts_.idle), session.evicted,
               &session.reader);
   quiet.first = first;
   Fault fault = co_await session.reader.head(request.head);
-  if (!first) quiet.due = due(patience_.request);
+  if (!first) quiet.due = due(timeouts_.request);
   // RFC 9110, 10.1.1: the client may wait to be asked for the body.
   if (fault == Fault::none && request.head.field("expect") == "100-continue" && session.reader.more())
     co_await session.socket.write_all("HTTP/1.1 100 Continue\r\n\r\n");
--- a/http/server.h
+++ b/http/server.h
@@ -48,8 +48,8 @@
   bool stalled_{};
 };
 
-// How long a client may take; 0: as long as it likes.
-struct Patience {
+// Bounds on how long a client may take; 0: no bound.
+struct Timeouts {
   io::Nanos first{};    // from connecting to the end of its first request
   io::Nanos request{};  // from a later request's head to its end
   io::Nanos idle{};     // between two requests; a head that has begun counts as idle
@@ -66,7 +66,7 @@
   const io::Address& address() const { return listener_.address(); }
   void refuse_with(Refusal refusal) { refusal_ = std::move(refusal); }
   // Ends connections whose clients take longer. Set before the first comes.
-  void be_patient(Patience patience);
+  void set_timeouts(Timeouts timeouts);
   // Ends a connection whose client takes nothing of what is written to it for so long. Set before the first comes.
   void limit_write_stall(io::Nanos span) { write_stall_ = span; }
   // Connections end after the request that they carry, those that have carried one and carry none at once; new ones are
@@ -141,7 +141,7 @@
   void close_quiet(Judge judge);
   void end_quiet(Quiet& quiet, How how);
   void evict(Quiet& quiet, How how);
-  Patience patience_;
+  Timeouts timeouts_;
   io::Nanos write_stall_{};
   std::size_t quiet_count_{};
   io::intrusive::list<Quiet, io::intrusive::constant_time_size<false>> quiet_;
