--- a/http/server.cpp
+++ b/http/server.cpp
@@ -80,21 +80,21 @@
 
 // Each ends by itself, as what it waits to read fails.
 template <class Judge>
-void Server::close_quiet(Judge judge) {
-  for (auto it = quiet_.begin(); it != quiet_.end();) {
-    Quiet& quiet = *it++;
-    const How how = judge(quiet);
-    if (how != How::stays) end_quiet(quiet, how);
+void Server::end_idle_if(Judge judge) {
+  for (auto it = idle_.begin(); it != idle_.end();) {
+    IdleConnection& idle = *it++;
+    const Ending ending = judge(idle);
+    if (ending != Ending::stays) end_idle(idle, ending);
   }
 }
 
-void Server::end_quiet(Quiet& quiet, How how) {
-  quiet_.erase(quiet_.iterator_to(quiet));
-  quiet.how = how;
-  if (how == How::closed)
-    quiet.socket.close();
+void Server::end_idle(IdleConnection& idle, Ending ending) {
+  idle_.erase(idle_.iterator_to(idle));
+  idle.ending = ending;
+  if (ending == Ending::closed)
+    idle.socket.close();
   else
-    quiet.socket.stop_reading();
+    idle.socket.stop_reading();
 }
 
 // Closes the listener, but first takes what the machine has accepted: a connection that is left in the listener's queue is
@@ -112,9 +112,9 @@
 
 void Server::wind_down(bool all) {
   stopping_ = true;
-  close_quiet([all](const Quiet& quiet) {
-    const bool unused = quiet.first && !quiet.half_read() && !quiet.socket.has_unread();
-    return quiet.rests() || (all && unused) ? How::ended : How::stays;
+  end_idle_if([all](const IdleConnection& idle) {
+    const bool unused = idle.first && !idle.half_read() && !idle.socket.has_unread();
+    return idle.between_requests() || (all && unused) ? Ending::ended : Ending::stays;
   });
 }
 
@@ -127,34 +127,34 @@
   for (;;) {
     co_await loop_.sleep_for(kLook);
     // A request may be on its way on one that rests; who has not brought one, or lingers, is owed no more time.
-    close_quiet([this](const Quiet& quiet) {
-      if (quiet.due > loop_.now()) return How::stays;
-      if (quiet.half_read()) return How::timed_out;
-      if (quiet.rests()) return How::ended;
-      return quiet.socket.has_unread() && !quiet.lingers() ? How::stays : How::closed;
+    end_idle_if([this](const IdleConnection& idle) {
+      if (idle.due > loop_.now()) return Ending::stays;
+      if (idle.half_read()) return Ending::timed_out;
+      if (idle.between_requests()) return Ending::ended;
+      return idle.socket.has_unread() && !idle.lingers() ? Ending::stays : Ending::closed;
     });
   }
 }
 
-// At the bound the connection that has been quiet longest makes way: one that carries nothing, read or unread. Where all carry
+// At the bound the connection that has been idle longest makes way: one that carries nothing, read or unread. Where all carry
 // a part of a request, the first of these is answered that there is no room.
-void Server::make_room() {
+void Server::evict_one() {
   if (timeouts_.idle == 0) return;
-  Quiet* half_read = nullptr;
-  for (Quiet& quiet : quiet_) {
-    if (quiet.half_read()) {
-      if (half_read == nullptr) half_read = &quiet;
+  IdleConnection* half_read = nullptr;
+  for (IdleConnection& idle : idle_) {
+    if (idle.half_read()) {
+      if (half_read == nullptr) half_read = &idle;
       continue;
     }
-    if (!quiet.socket.has_unread()) return evict(quiet, How::closed);
+    if (!idle.socket.has_unread()) return evict(idle, Ending::closed);
   }
-  if (half_read != nullptr) evict(*half_read, How::crowded_out);
+  if (half_read != nullptr) evict(*half_read, Ending::crowded_out);
 }
 
-void Server::evict(Quiet& quiet, How how) {
-  quiet.evicted = true;
+void Server::evict(IdleConnection& idle, Ending ending) {
+  idle.evicted = true;
   ++evicted_;
-  end_quiet(quiet, how);
+  end_idle(idle, ending);
 }
 
 void Server::accept_slowly(io::Nanos each) {
@@ -172,7 +172,7 @@
 io::Task<> Server::accept() {
   for (;;) {
     while (open_ >= connections_) {
-      if (open_ - evicted_ >= connections_) make_room();
+      if (open_ - evicted_ >= connections_) evict_one();
       // Those that carried something now may carry nothing later, and nobody tells of that.
       co_await io::wait_until(loop_, closed_, loop_.now() + kLook);
     }
@@ -202,7 +202,7 @@
 io::Task<> Server::linger(io::Socket& socket, bool& evicted) {
   if (!socket.is_open() || evicted) co_return;
   const io::Nanos until = loop_.now() + kLinger;
-  Quiet quiet(*this, socket, until, evicted);
+  IdleConnection idle(*this, socket, until, evicted);
   ::shutdown(socket.fd(), SHUT_WR);
   std::array<char, 16 * 1024> buffer;
   for (;;) {
@@ -215,18 +215,18 @@
 io::Task<Fault> Server::read_request(Session& session, Request& request) {
   request.body.clear();
   const bool first = session.requests++ == 0;
-  Quiet quiet(*this, session.socket, due(first ? timeouts_.first : timeouts_.idle), session.evicted,
-              &session.reader);
-  quiet.first = first;
+  IdleConnection idle(*this, session.socket, due(first ? timeouts_.first : timeouts_.idle), session.evicted,
+                      &session.reader);
+  idle.first = first;
   Fault fault = co_await session.reader.head(request.head);
-  if (!first) quiet.due = due(timeouts_.request);
+  if (!first) idle.due = due(timeouts_.request);
   // RFC 9110, 10.1.1: the client may wait to be asked for the body.
   if (fault == Fault::none && request.head.field("expect") == "100-continue" && session.reader.more())
     co_await session.socket.write_all("HTTP/1.1 100 Continue\r\n\r\n");
   if (fault == Fault::none) fault = co_await session.reader.rest(request.body);
-  session.ended = quiet.how == How::ended;
-  if (quiet.how == How::timed_out) co_return Fault::timed_out;
-  if (quiet.how == How::crowded_out) co_return Fault::crowded_out;
+  session.ended = idle.ending == Ending::ended;
+  if (idle.ending == Ending::timed_out) co_return Fault::timed_out;
+  if (idle.ending == Ending::crowded_out) co_return Fault::crowded_out;
   // A client that has ended its connection has gone, whatever it sent before.
   co_return session.socket.peer_ended() ? Fault::closed : fault;
 }
--- a/http/server.h
+++ b/http/server.h
@@ -77,7 +77,7 @@
   void stop_accepting();
   std::size_t connections() const { return open_; }
   // Connections with a request in hand.
-  std::size_t in_hand() const { return open_ - quiet_count_; }
+  std::size_t in_hand() const { return open_ - idle_count_; }
   // For stand-ins: takes a connection at most each so often, with no line of those that wait; 0 as usual.
   void accept_slowly(io::Nanos each);
   // Breaks every connection and stops listening.
@@ -100,9 +100,9 @@
   io::Nanos due(io::Nanos span) const;
   io::Task<> refuse(io::Socket& socket, Fault fault, bool& evicted);
 
-  // What becomes of a quiet connection: closed at once, ended so that bytes that cross its end do no harm, or, where a part
+  // What becomes of an idle connection: closed at once, ended so that bytes that cross its end do no harm, or, where a part
   // of a request has come, answered with an error.
-  enum class How { stays, closed, ended, timed_out, crowded_out };
+  enum class Ending { stays, closed, ended, timed_out, crowded_out };
 
   io::Loop& loop_;
   Handler handler_;
@@ -113,38 +113,38 @@
   bool stopping_{};
   io::Nanos accept_each_{};
   // A connection that carries no whole request, from its beginning or its last answer on. In the list by that time.
-  struct Quiet : io::intrusive::list_base_hook<io::AutoUnlink> {
-    Quiet(Server& of, io::Socket& s, io::Nanos until, bool& e, const Reader* r = nullptr)
+  struct IdleConnection : io::intrusive::list_base_hook<io::AutoUnlink> {
+    IdleConnection(Server& of, io::Socket& s, io::Nanos until, bool& e, const Reader* r = nullptr)
         : server(of), socket(s), due(until), evicted(e), reader(r) {
-      server.quiet_.push_back(*this), ++server.quiet_count_;
+      server.idle_.push_back(*this), ++server.idle_count_;
       if (server.open_ >= server.connections_) server.closed_.notify();  // it may make room
     }
-    ~Quiet() { --server.quiet_count_; }
+    ~IdleConnection() { --server.idle_count_; }
     Server& server;
     io::Socket& socket;
     io::Nanos due;
     bool& evicted;
-    const Reader* reader;  // of its requests; null where it lingers
-    bool first{};          // it has carried no request yet
-    How how{How::stays};   // how this side ends it
+    const Reader* reader;          // of its requests; null where it lingers
+    bool first{};                  // it has carried no request yet
+    Ending ending{Ending::stays};  // how this side ends it
     bool lingers() const { return reader == nullptr; }
     // A part of a request has come, read or not: its client is owed an answer.
     bool half_read() const { return reader != nullptr && reader->started(); }
-    bool rests() const { return !first && !lingers() && !half_read(); }
+    bool between_requests() const { return !first && !lingers() && !half_read(); }
   };
   io::Task<> end_overdue();
-  void make_room();
+  void evict_one();
   // Closes after an answer that ends its connection, so that what the client still sends cannot take it with it.
   io::Task<> linger(io::Socket& socket, bool& evicted);
   std::size_t evicted_{};  // connections that were closed to make room, and have not ended yet
   template <class Judge>
-  void close_quiet(Judge judge);
-  void end_quiet(Quiet& quiet, How how);
-  void evict(Quiet& quiet, How how);
+  void end_idle_if(Judge judge);
+  void end_idle(IdleConnection& idle, Ending ending);
+  void evict(IdleConnection& idle, Ending ending);
   Timeouts timeouts_;
   io::Nanos write_stall_{};
-  std::size_t quiet_count_{};
-  io::intrusive::list<Quiet, io::intrusive::constant_time_size<false>> quiet_;
+  std::size_t idle_count_{};
+  io::intrusive::list<IdleConnection, io::intrusive::constant_time_size<false>> idle_;
   io::Signal closed_;
   io::Listener listener_;
   io::Scope sessions_;
