--- a/http/client.cpp
+++ b/http/client.cpp
@@ -5,7 +5,7 @@
 
 namespace cressrill::http {
 
-bool Room::make() {
+bool ConnectionBudget::admit() {
   if (open_ < most_) return true;
   Pool* oldest = nullptr;
   for (Pool* p : pools_)
@@ -18,21 +18,21 @@
 }
 
 Pool::~Pool() {
-  if (!bounds_.room) return;
-  std::erase(bounds_.room->pools_, this);
-  bounds_.room->open_ -= open_;
+  if (!bounds_.budget) return;
+  std::erase(bounds_.budget->pools_, this);
+  bounds_.budget->open_ -= open_;
 }
 
 void Pool::dropped() {
   --open_;
-  if (bounds_.room) --bounds_.room->open_;
+  if (bounds_.budget) --bounds_.budget->open_;
   returned_.notify();
 }
 
 void Pool::note(const Connection& connection, bool answered) {
-  if (!bounds_.room || !connection.used_before) return;
-  Trust& trust = bounds_.room->trust_;
-  answered ? trust.fine(connection.stood, loop_.now()) : trust.lost(connection.stood, loop_.now());
+  if (!bounds_.budget || !connection.used_before) return;
+  IdleReuseTracker& reuse = bounds_.budget->idle_reuse_;
+  answered ? reuse.answered(connection.stood, loop_.now()) : reuse.broke(connection.stood, loop_.now());
 }
 
 void Pool::drop_kept() {
@@ -52,7 +52,7 @@
         rested = std::min(rested, kept_[i].since + bounds_.rest);
         continue;
       }
-      if (bounds_.room && !bounds_.room->trust_.worth(stood, loop_.now())) continue;
+      if (bounds_.budget && !bounds_.budget->idle_reuse_.worth_using(stood, loop_.now())) continue;
       auto connection = std::move(kept_[i].connection);
       connection->stood = stood;
       kept_.erase(kept_.begin() + static_cast<std::ptrdiff_t>(i));
@@ -74,12 +74,12 @@
       if (pool != nullptr) pool->dropped();
     }
   };
-  if (bounds_.room && !bounds_.room->make()) {
+  if (bounds_.budget && !bounds_.budget->admit()) {
     crowded = true;
     co_return nullptr;
   }
   ++open_, ++dialled_;
-  if (bounds_.room) ++bounds_.room->open_;
+  if (bounds_.budget) ++bounds_.budget->open_;
   Counted counted{this};
   auto connection = std::make_unique<Connection>();
   const auto moved = co_await io::within(loop_, until, io::connect(loop_, peer_, connection->socket));
--- a/http/client.h
+++ b/http/client.h
@@ -5,8 +5,8 @@
 #include <functional>
 #include <memory>
 
+#include "idle_reuse.h"
 #include "message.h"
-#include "trust.h"
 
 namespace cressrill::http {
 
@@ -21,16 +21,16 @@
 
 // What many pools share: a bound on their connections together, where kept ones make way for new ones, the oldest
 // first; and what is known of kept ones.
-class Room {
+class ConnectionBudget {
  public:
-  explicit Room(std::size_t most) : most_(most) {}
+  explicit ConnectionBudget(std::size_t most) : most_(most) {}
   std::size_t open() const { return open_; }
 
  private:
   friend class Pool;
   // Whether another may be opened.
-  bool make();
-  Trust trust_;
+  bool admit();
+  IdleReuseTracker idle_reuse_;
   std::size_t most_;
   std::size_t open_{};
   std::vector<Pool*> pools_;
@@ -40,8 +40,8 @@
   io::Nanos dial_timeout = 250 * io::kMs;
   io::Nanos idle_for = 15 * io::kSecond;  // a kept connection is closed after so long
   std::size_t kept = 64;
-  std::size_t open = 1024;       // past this a request waits for one that is given back
-  std::shared_ptr<Room> room{};  // shared with other pools; none: no such bound
+  std::size_t open = 1024;                     // past this a request waits for one that is given back
+  std::shared_ptr<ConnectionBudget> budget{};  // shared with other pools; none: no such bound
   io::Nanos
       rest{};  // a kept connection is not used again before: a peer's second answer would pass for the next one's
 };
@@ -50,7 +50,7 @@
  public:
   Pool(io::Loop& loop, io::Address peer, PoolBounds bounds = {})
       : loop_(loop), peer_(peer), bounds_(std::move(bounds)), returned_(loop), sweeper_(loop) {
-    if (bounds_.room) bounds_.room->pools_.push_back(this);
+    if (bounds_.budget) bounds_.budget->pools_.push_back(this);
   }
   ~Pool();
 
@@ -69,7 +69,7 @@
   std::size_t dialled() const { return dialled_; }
 
  private:
-  friend class Room;
+  friend class ConnectionBudget;
   struct Kept {
     std::unique_ptr<Connection> connection;
     io::Nanos since;
--- a/http/trust.h
+++ b/http/idle_reuse.h
@@ -11,24 +11,24 @@
 
 namespace cressrill::http {
 
-class Trust {
+class IdleReuseTracker {
  public:
   // A connection that had stood so many nanoseconds answered, or broke without a byte of an answer.
-  void fine(std::int64_t stood, std::int64_t now) { note(stood, now).fine += 1; }
-  void lost(std::int64_t stood, std::int64_t now) { note(stood, now).lost += 1; }
+  void answered(std::int64_t stood, std::int64_t now) { note(stood, now).answered += 1; }
+  void broke(std::int64_t stood, std::int64_t now) { note(stood, now).broke += 1; }
   // Whether one that has stood so long should be used. Where nothing is known, it is.
-  bool worth(std::int64_t stood, std::int64_t now) const {
+  bool worth_using(std::int64_t stood, std::int64_t now) const {
     Uses u = uses_[octave(stood)];
     age(u, now);
-    return u.lost * kPrice <= u.fine + kPrice;
+    return u.broke * kPrice <= u.answered + kPrice;
   }
 
  private:
   static constexpr double kPrice = 16;  // a lost request costs as much as so many new connections
   static constexpr std::int64_t kHalf = 10'000'000'000;  // what was seen counts half after this: peers change
   struct Uses {
-    double fine{};
-    double lost{};
+    double answered{};
+    double broke{};
     std::int64_t at{};
   };
   // Of two to the n milliseconds, about.
@@ -37,12 +37,13 @@
     return std::min<std::size_t>(static_cast<std::size_t>(std::bit_width(ms)), kOctaves - 1);
   }
   static void age(Uses& u, std::int64_t now) {
-    for (; now - u.at >= kHalf && (u.fine > 0.01 || u.lost > 0.01); u.at += kHalf) u.fine /= 2, u.lost /= 2;
+    for (; now - u.at >= kHalf && (u.answered > 0.01 || u.broke > 0.01); u.at += kHalf)
+      u.answered /= 2, u.broke /= 2;
   }
   Uses& note(std::int64_t stood, std::int64_t now) {
     Uses& u = uses_[octave(stood)];
     age(u, now);
-    if (u.fine < 0.01 && u.lost < 0.01) u.at = now;
+    if (u.answered < 0.01 && u.broke < 0.01) u.at = now;
     return u;
   }
   static constexpr std::size_t kOctaves = 20;
--- a/router/fleet.cpp
+++ b/router/fleet.cpp
@@ -19,7 +19,8 @@
 Fleet::Fleet(io::Loop& loop, const core::Station& station, core::Log& log)
     : loop_(loop), station_(station), log_(log) {
   const std::size_t most = station.all_engine_connections;
-  room_ = std::make_shared<http::Room>(most > 0 ? most : std::numeric_limits<std::size_t>::max());
+  budget_ =
+      std::make_shared<http::ConnectionBudget>(most > 0 ? most : std::numeric_limits<std::size_t>::max());
 }
 
 Role Fleet::role(int worker) const {
@@ -51,10 +52,10 @@
   }
   Link& link = at(index);
   if (!link.pool || link.pool->peer() != *address) {
-    link.pool =
-        std::make_shared<http::Pool>(loop_, *address,
-                                     http::PoolBounds{station_.dial_timeout, station_.idle_for, 256,
-                                                      station_.engine_connections, room_, station_.rest_for});
+    link.pool = std::make_shared<http::Pool>(
+        loop_, *address,
+        http::PoolBounds{station_.dial_timeout, station_.idle_for, 256, station_.engine_connections, budget_,
+                         station_.rest_for});
   }
   link.kind = kind, link.zone = zone;
   link.cell = cells_.try_emplace(listed.cell, static_cast<int>(cells_.size())).first->second;
--- a/router/fleet.h
+++ b/router/fleet.h
@@ -55,9 +55,9 @@
   const core::Station& station_;
   core::Log& log_;
   std::uint64_t version_{};
-  int source_{};                      // of the last list,
-  std::uint64_t source_version_{};    // and the version of the first that it told
-  std::shared_ptr<http::Room> room_;  // for the connections to all workers
+  int source_{};                                    // of the last list,
+  std::uint64_t source_version_{};                  // and the version of the first that it told
+  std::shared_ptr<http::ConnectionBudget> budget_;  // for the connections to all workers
   std::vector<std::unique_ptr<Link>> links_;
   std::vector<int> free_;  // indices of workers that were forgotten
   std::unordered_map<std::string, int> index_;
--- a/tests/io_test.cpp
+++ b/tests/io_test.cpp
@@ -28,17 +28,17 @@
 }  // namespace
 
 TEST_CASE("kept connections of an age at which requests are lost are left alone, others are used") {
-  http::Trust trust;
+  http::IdleReuseTracker reuse;
   std::string seen;
   const auto worth = [&](io::Nanos now) {
-    for (const int ms : {10, 50, 150, 300, 700, 3000}) seen += trust.worth(ms * kMs, now) ? "+" : "-";
+    for (const int ms : {10, 50, 150, 300, 700, 3000}) seen += reuse.worth_using(ms * kMs, now) ? "+" : "-";
     seen += " ";
   };
   worth(0);
-  for (int i = 0; i < 40; ++i) trust.fine(10 * kMs, i * kMs);
-  trust.lost(300 * kMs, 50 * kMs);  // one loss says little
+  for (int i = 0; i < 40; ++i) reuse.answered(10 * kMs, i * kMs);
+  reuse.broke(300 * kMs, 50 * kMs);  // one loss says little
   worth(60 * kMs);
-  trust.lost(300 * kMs, 70 * kMs), trust.lost(10 * kMs, 70 * kMs);
+  reuse.broke(300 * kMs, 70 * kMs), reuse.broke(10 * kMs, 70 * kMs);
   worth(80 * kMs);
   worth(11 * io::kSecond);  // it is tried again
   CHECK(seen == "++++++ ++++++ +++-++ ++++++ ");
--- a/tests/pool_test.cpp
+++ b/tests/pool_test.cpp
@@ -10,9 +10,9 @@
 
 constexpr std::size_t kMost = 4;
 
-http::PoolBounds bounds_with(std::shared_ptr<http::Room> room) {
+http::PoolBounds bounds_with(std::shared_ptr<http::ConnectionBudget> budget) {
   http::PoolBounds bounds;
-  bounds.room = std::move(room);
+  bounds.budget = std::move(budget);
   return bounds;
 }
 
@@ -22,8 +22,8 @@
   io::Loop loop(io::Loop::Time::handed);
   HangingServer server;
   server.hang();
-  const auto room = std::make_shared<http::Room>(kMost);
-  const auto pool = std::make_shared<http::Pool>(loop, server.address(), bounds_with(room));
+  const auto budget = std::make_shared<http::ConnectionBudget>(kMost);
+  const auto pool = std::make_shared<http::Pool>(loop, server.address(), bounds_with(budget));
   {
     io::Scope scope(loop);
     for (std::size_t i = 0; i < kMost; ++i)
@@ -32,18 +32,18 @@
         co_await lease.take();
       }(pool));
     pass(loop, 10);
-    CHECK(room->open() == kMost);
+    CHECK(budget->open() == kMost);
   }
   CHECK(pool->open() == 0);
-  CHECK(room->open() == 0);
+  CHECK(budget->open() == 0);
 }
 
 TEST_CASE(
     "a pool that its owner drops while a lease is out lasts until that ends, and its room is free then") {
   io::Loop loop(io::Loop::Time::handed);
   RawServer server;
-  const auto room = std::make_shared<http::Room>(kMost);
-  auto pool = std::make_shared<http::Pool>(loop, server.address(), bounds_with(room));
+  const auto budget = std::make_shared<http::ConnectionBudget>(kMost);
+  auto pool = std::make_shared<http::Pool>(loop, server.address(), bounds_with(budget));
   {
     io::Scope scope(loop);
     scope.spawn([](io::Loop& l, std::shared_ptr<http::Pool> of) -> io::Task<> {
@@ -53,9 +53,9 @@
       lease.keep();
     }(loop, std::exchange(pool, nullptr)));
     pass(loop, 10);
-    CHECK(room->open() == 1);
+    CHECK(budget->open() == 1);
     pass(loop, 2000);
-    CHECK(room->open() == 0);
+    CHECK(budget->open() == 0);
   }
 }
 
