--- a/router/host.cpp
+++ b/router/host.cpp
@@ -461,6 +461,9 @@
   io::Scope calls(loop_);
   const auto over = [&] { return heard || superseded(ask->runs, attempts) || loop_.now() >= until; };
   io::Nanos pause = limit / 40;
+  // A further attempt mostly leaves at once: no connection is made beside it for a call that would not be sent then.
+  if (ask->runs.size() > attempts) co_await loop_.sleep_for(pause);
+  if (over()) co_return;
   // Each round of calls that fail at once is followed by a longer pause: a worker may hold too many connections just now.
   for (int round = 0; round < kReleaseRounds; ++round, pause *= 2) {
     for (const int worker : order) {
@@ -490,7 +493,8 @@
 io::Task<> Host::release_once(std::shared_ptr<Ask> ask, std::size_t attempts, int worker, bool& heard,
                               io::Signal& told) {
   const Link* link = fleet_.find(worker);
-  if (link == nullptr) co_return;
+  // Asked before a connection is made as well: a new one costs the worker.
+  if (link == nullptr || superseded(ask->runs, attempts)) co_return;
   const std::string text = ask->talk->release(0, link->listed.address);
   const std::function<bool()> still_wanted = [&] { return !superseded(ask->runs, attempts); };
   heard |= (co_await http::exchange(link->pool, text, still_wanted)).ok();
--- a/tests/release_test.cpp
+++ b/tests/release_test.cpp
@@ -45,4 +45,21 @@
   CHECK(s.lines("POST") == 3);
 }
 
+// Guards against a connection for each failed attempt, made for a call that is not sent in the end.
+TEST_CASE("a release that a further attempt has overtaken makes no connection") {
+  Site s(1, 1);
+  s.send("warm", Site::call("w1"));
+  s.answer("warm");
+  s.pass(200);  // the reader's connection has rested
+  s.worker("reader-0").acts = {
+      {"HTTP/1.1 500 Error\r\ncontent-length: 0\r\n\r\n", Act::Then::keep, 10 * kMs}};
+  const int before = s.worker("reader-0").connections;
+  s.send("a", Site::call("a1"));
+  CHECK(s.answer("a").whole);
+  CHECK(s.lines("POST") == 5);
+  CHECK(s.lines("DELETE") <= 1);
+  // One for the second attempt, as the first one's still rests, and one for the call at the end of the request.
+  CHECK(s.worker("reader-0").connections <= before + 2);
+}
+
 }  // namespace cressrill::testing
