--- a/io/socket.cpp
+++ b/io/socket.cpp
@@ -145,20 +145,23 @@
 Task<bool> Socket::becomes_writable() {
   constexpr Nanos kLooks = 4;  // in the time that a peer may stall
   state_->watch.writable = false;
+  if (state_->write_stall == 0) {
+    co_await Ready(state_->watch, Side::write);
+    co_return true;
+  }
   int least = queued();
   Nanos taken_at = state_->loop.now();
   for (;;) {
     Ready ready(state_->watch, Side::write);
     Timer timer;
-    if (state_->write_stall > 0)
-      state_->loop.set(timer, state_->loop.now() + state_->write_stall / kLooks, ready);
+    state_->loop.set(timer, state_->loop.now() + state_->write_stall / kLooks, ready);
     co_await ready;
     if (!state_ || state_->watch.writable) co_return true;
     if (const int left = queued(); left < least) {
       least = left;
       taken_at = state_->loop.now();
     }
-    if (state_->write_stall > 0 && state_->loop.now() - taken_at >= state_->write_stall) co_return false;
+    if (state_->loop.now() - taken_at >= state_->write_stall) co_return false;
   }
 }
 
--- a/tests/client_connection_test.cpp
+++ b/tests/client_connection_test.cpp
@@ -11,10 +11,6 @@
 // As platform/placement.cpp divides them; one place is kept free for the next connection.
 constexpr std::size_t kMostClients = kDescriptors * 45 / 100 - 1;
 
-bool served_whole(const std::string& text) {
-  return text.starts_with("HTTP/1.1 200") && text.ends_with("0\r\n\r\n");
-}
-
 // Connects clients that say nothing, one after another, until the router holds as many connections as it may.
 std::vector<std::unique_ptr<RawClient>> fill(Site& site) {
   std::vector<std::unique_ptr<RawClient>> out;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -279,8 +279,7 @@
 
 TEST_CASE("a reader that cannot be reached: another worker is told to let go") {
   Site s(1, 1);
-  s.worker("writer-0").acts = std::deque<Act>(
-      20, {http::response_text(503, "X-Rejected: 1\r\n", "", true), Act::Then::keep, 30 * kMs});
+  s.worker("writer-0").acts = always_full();
   s.send("a", Site::call("a1"));
   s.loop.run_until([&] { return !s.states.empty(); });
   s.pass(5);
@@ -293,8 +292,7 @@
 // Guards rule 5 where most workers are silent: told one after the other, the one that hears would be told too late.
 TEST_CASE("a state is let go of in time though all readers have fallen silent") {
   Site s(12, 1);
-  s.worker("writer-0").acts = std::deque<Act>(
-      20, {http::response_text(503, "X-Rejected: 1\r\n", "", true), Act::Then::keep, 30 * kMs});
+  s.worker("writer-0").acts = always_full();
   s.send("a", Site::call("a1"));
   s.loop.run_until([&] { return !s.states.empty(); });
   const io::Nanos held = s.loop.now();
--- a/tests/raw_client.h
+++ b/tests/raw_client.h
@@ -27,6 +27,11 @@
   return out;
 }
 
+// Whether that is one answer with status 200 and a stream that came to its last chunk.
+inline bool served_whole(std::string_view text) {
+  return text.starts_with("HTTP/1.1 200") && text.ends_with("0\r\n\r\n");
+}
+
 class RawConnection {
  public:
   explicit RawConnection(int descriptor) : descriptor_(descriptor) {
--- a/tests/shutdown_test.cpp
+++ b/tests/shutdown_test.cpp
@@ -4,19 +4,10 @@
 
 namespace cressrill::testing {
 
-namespace {
-
-bool served_whole(const std::string& text) {
-  return text.starts_with("HTTP/1.1 200") && text.ends_with("0\r\n\r\n");
-}
-
-}  // namespace
-
 // Guards rule 5: nobody else knows of the state.
 TEST_CASE("a process that is told to end waits until a worker has heard that a state is let go of") {
   Site s(1, 1);
-  s.worker("writer-0").acts = std::deque<Act>(
-      20, {http::response_text(503, "X-Rejected: 1\r\n", "", true), Act::Then::keep, 30 * kMs});
+  s.worker("writer-0").acts = always_full();
   s.send("a", Site::call("a1"));
   s.until([&] { return !s.states.empty(); });
   s.worker("reader-0").die();
@@ -29,8 +20,7 @@
 
 TEST_CASE("a process whose workers all are gone is not held up by a state for longer than its limit") {
   Site s(1, 1);
-  s.worker("writer-0").acts = std::deque<Act>(
-      20, {http::response_text(503, "X-Rejected: 1\r\n", "", true), Act::Then::keep, 30 * kMs});
+  s.worker("writer-0").acts = always_full();
   s.send("a", Site::call("a1"));
   s.until([&] { return !s.states.empty(); });
   for (auto& w : s.workers) w->die();
--- a/tests/site.h
+++ b/tests/site.h
@@ -28,6 +28,12 @@
   io::Nanos behind{50 * kMs};
 };
 
+// A worker that says full to all that is sent, each time after 30 ms.
+inline std::deque<Act> always_full() {
+  return std::deque<Act>(
+      20, {http::response_text(503, "X-Rejected: 1\r\n", "", true), Act::Then::keep, 30 * kMs});
+}
+
 // States that readers hold, by the id of their request: who holds them.
 using States = std::map<std::string, std::string>;
 
