--- /dev/null
+++ b/tests/fault_test.cpp
@@ -0,0 +1,109 @@
+// System calls that fail in the ways that Linux documents, beside real connections on loopback and handed time: the fault
+// shim is linked in, and a fault is set only while the scheduler runs.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <chrono>
+
+#include "raw_server.h"
+#include "rig/fault_plan.h"
+#include "site.h"
+
+namespace cressrill::testing {
+
+namespace {
+
+using rig::FaultyCall;
+
+// A call misbehaves for as long as this lives, or for so many calls.
+class Fault {
+ public:
+  Fault(FaultyCall call, int error, std::uint32_t at_most = 0, std::uint32_t one_in = 1)
+      : fault_(cressrill_fault_plan()->of(call)) {
+    fault_.one_in = one_in, fault_.at_most = at_most, fault_.calls = 0, fault_.injected = 0,
+    fault_.error = error;
+  }
+  ~Fault() { fault_.error = 0; }
+  Fault(const Fault&) = delete;
+  Fault& operator=(const Fault&) = delete;
+  std::uint64_t injected() const { return fault_.injected; }
+
+ private:
+  rig::CallFault& fault_;
+};
+
+// Transfers move at most so many bytes for as long as this lives.
+class ShortTransfers {
+ public:
+  ShortTransfers(FaultyCall call, std::uint32_t most_bytes) : fault_(cressrill_fault_plan()->of(call)) {
+    fault_.injected = 0, fault_.most_bytes = most_bytes;
+  }
+  ~ShortTransfers() { fault_.most_bytes = 0; }
+  ShortTransfers(const ShortTransfers&) = delete;
+  ShortTransfers& operator=(const ShortTransfers&) = delete;
+  std::uint64_t injected() const { return fault_.injected; }
+
+ private:
+  rig::CallFault& fault_;
+};
+
+}  // namespace
+
+// Guards against a loop that stands still for all connections while one call fails.
+TEST_CASE("accept fails for want of memory or descriptors, and the loop goes on and serves after it") {
+  for (const int error : {ENOBUFS, ENOMEM, EMFILE, ENFILE, ECONNABORTED, EPROTO}) {
+    CAPTURE(error);
+    Site s(1, 1);
+    RawClient client(s.node->address());
+    client.write(Site::call("a1"));
+    {
+      Fault fault(FaultyCall::accept, error, 10'000);
+      s.pass(200);
+      CHECK(fault.injected() > 0);
+      CHECK(fault.injected() < 200);
+    }
+    s.pass(500);
+    client.read();
+    CHECK(served_whole(client.text()));
+  }
+}
+
+TEST_CASE("a connection that cannot be registered with epoll ends no other, and nothing is lost or leaked") {
+  for (const int error : {ENOMEM, ENOSPC}) {
+    CAPTURE(error);
+    Site s(2, 2);
+    std::vector<std::unique_ptr<RawClient>> clients;
+    for (int i = 0; i < 6; ++i) {
+      clients.push_back(std::make_unique<RawClient>(s.node->address()));
+      clients.back()->write(Site::call("a" + std::to_string(i)));
+    }
+    {
+      Fault fault(FaultyCall::epoll_add, error, 8);
+      s.pass(300);
+      CHECK(fault.injected() > 0);
+    }
+    s.pass(1000);
+    for (auto& client : clients) {
+      client->read();
+      CHECK(served_whole(client->text()));
+    }
+    CHECK(s.node->host().live() == 0);
+  }
+}
+
+// The kernel tells of a client's end once; a look at the socket that is interrupted just then must not lose it.
+TEST_CASE("a client that leaves while looks at its connection are interrupted has left") {
+  Site s(1, 1);
+  s.worker("reader-0").silent = true;
+  RawClient client(s.node->address());
+  client.write(Site::call("a1"));
+  s.pass(50);
+  REQUIRE(s.node->host().live() == 1);
+  client.close();
+  {
+    Fault fault(FaultyCall::receive, EINTR, 1);
+    s.pass(50);
+    CHECK(fault.injected() > 0);
+  }
+  CHECK(s.node->host().live() == 0);
+}
+
+}  // namespace cressrill::testing
