A call that fails ends no other connection: one table of errno, waits between failures

Cause: Loop::watch() threw where epoll_ctl failed; the exception left Listener::accept() or connect() and reached Scope::Root, whose unhandled_exception() ended the process ('terminate called after throwing ... epoll_ctl: Cannot allocate memory'); the descriptor leaked. Listener::accept() tried again at once after ENOBUFS, ENOMEM, ECONNABORTED and never gave the loop a turn. Socket::peer_gone() took an interrupted look for nothing to see, cleared 'readable', and the kernel's one word of the client's end was lost. An interrupted connect was taken for a refusal.

Change: io/failure.h classifies errno by call; registration returns its error, and a connection that cannot be registered is kept and tried again; accept pauses 5 ms after a lack and after four broken connections; looks are made again; an interrupted connect goes on. A task that an exception leaves ends alone where somebody observes faults (Loop::observe_faults). A failed read of a signal is no signal.

--- a/http/server.cpp
+++ b/http/server.cpp
@@ -102,8 +102,8 @@
 void Server::stop_accepting() {
   acceptor_.cancel();
   while (open_ < connections_) {
-    io::Socket socket = listener_.accept_now();
-    if (!socket.is_open()) break;
+    io::Socket socket;
+    if (listener_.accept_now(socket) != 0) break;
     begin(std::move(socket));
   }
   listener_.close();
--- a/io/loop.cpp
+++ b/io/loop.cpp
@@ -43,14 +43,37 @@
   timers_.set(timer);
 }
 
-void Loop::watch(int fd, Watch& watch) {
+void Loop::failed(Call call, int error) {
+  const auto kind = std::pair(call, error);
+  const bool first = std::ranges::find(failed_before_, kind) == failed_before_.end();
+  if (first) failed_before_.push_back(kind);
+  if (observe_call_) observe_call_(call, error, first);
+}
+
+void Loop::task_failed(std::exception_ptr thrown) noexcept {
+  if (!observe_task_) std::terminate();
+  try {
+    std::rethrow_exception(std::move(thrown));
+  } catch (const std::exception& e) {
+    observe_task_(e.what());
+  } catch (...) {
+    observe_task_("an exception of unknown type");
+  }
+}
+
+int Loop::watch(int fd, Watch& watch) {
   called(Call::epoll_ctl);
   epoll_event event{};
   event.events = EPOLLIN | EPOLLOUT | EPOLLRDHUP | EPOLLET;
   event.data.ptr = &watch;
-  if (epoll_ctl(epoll_, EPOLL_CTL_ADD, fd, &event) != 0)
-    throw std::system_error(errno, std::generic_category(), "epoll_ctl");
+  watch.arrived = now_;
+  if (epoll_ctl(epoll_, EPOLL_CTL_ADD, fd, &event) != 0) {
+    const int error = errno;
+    failed(Call::epoll_ctl, error);
+    return error;
+  }
   ++watched_;
+  return 0;
 }
 
 void Loop::unwatch(int fd) {
@@ -76,12 +99,15 @@
   called(Call::epoll_wait);
   std::array<epoll_event, 256> events;
   const int n = epoll_wait(epoll_, events.data(), static_cast<int>(events.size()), timeout_ms);
+  if (n < 0) failed(Call::epoll_wait, errno);
+  if (timeout_ms != 0) read_clock();  // it may have waited long
   for (int i = 0; i < n; ++i) {
     auto* watch = static_cast<Watch*>(events[static_cast<std::size_t>(i)].data.ptr);
     const auto bits = events[static_cast<std::size_t>(i)].events;
     if (bits & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) watch->hung = true;
     if (bits & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) {
       watch->readable = true;
+      watch->arrived = now_;
       if (watch->reader != nullptr) make_ready(*watch->reader);
     }
     if (bits & (EPOLLOUT | EPOLLHUP | EPOLLERR)) {
@@ -147,6 +173,7 @@
 void Scope::spawn(Task<> task) {
   auto& promise = root(std::move(task)).handle.promise();
   roots_.push_back(promise);
+  promise.loop = &loop_;
   promise.start.handle = std::coroutine_handle<Root::promise_type>::from_promise(promise);
   loop_.make_ready(promise.start);
 }
--- a/io/loop.h
+++ b/io/loop.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "calls.h"
+#include "failure.h"
 #include "task.h"
 #include "timer_wheel.h"
 
@@ -47,10 +48,14 @@
   bool readable{true};
   bool unread{};  // something was seen and left: a read finds it, though no word of it will come
   bool writable{true};
-  bool hung{};     // the peer has ended or broken it: what is left to read comes without further word
-  bool stopped{};  // the read that waits, or the next, is to end
+  bool hung{};             // the peer has ended or broken it: what is left to read comes without further word
+  bool stopped{};          // the read that waits, or the next, is to end
+  std::int64_t arrived{};  // when the kernel last told that something came
 };
 
+// A pause before a call is made again that failed for a lack on this machine.
+constexpr Nanos kLackPause = 5 * kMs;
+
 class Loop {
  public:
   enum class Time { real, handed };
@@ -61,6 +66,11 @@
   Loop& operator=(const Loop&) = delete;
 
   Nanos now() const { return now_; }
+  // Reads the clock anew: now() is of the beginning of this round, and a limit that binds at a call counts from the call.
+  Nanos fresh_now() {
+    read_clock();
+    return now_;
+  }
   // Nanoseconds since 1970 that stand at now() == 0; fixed when the scheduler is made.
   Nanos wall_at_zero() const { return wall_at_zero_; }
 
@@ -101,8 +111,19 @@
   Sleep sleep_until(Nanos t) { return Sleep(*this, t); }
   Sleep sleep_for(Nanos span) { return Sleep(*this, now_ + span); }
 
-  // For Socket alone.
-  void watch(int fd, Watch& watch);
+  // Faults that were survived: each call that failed for another reason than a peer's, and each task that an exception
+  // ended. Told as they happen, first whether it is the first of its kind.
+  using CallObserver = std::function<void(Call call, int error, bool first)>;
+  using TaskObserver = std::function<void(const char* what)>;
+  void observe_faults(CallObserver calls, TaskObserver tasks) {
+    observe_call_ = std::move(calls), observe_task_ = std::move(tasks);
+  }
+  void failed(Call call, int error);
+  // An exception left a task that nobody waits for. It ends the program unless somebody observes it.
+  void task_failed(std::exception_ptr thrown) noexcept;
+
+  // For Socket alone. Returns 0, or the errno with which the descriptor could not be registered.
+  int watch(int fd, Watch& watch);
   void unwatch(int fd);
   void moved(std::int64_t bytes) { in_kernel_ += bytes; }
   void called(Call call, std::uint64_t times = 1) { calls_.add(call, times); }
@@ -124,6 +145,9 @@
   std::int64_t in_kernel_{};  // bytes written less bytes read: with both ends here, what is on its way
   std::size_t watched_{};
   Calls calls_;
+  std::vector<std::pair<Call, int>> failed_before_;
+  CallObserver observe_call_;
+  TaskObserver observe_task_;
   Waiter round_end_;
   intrusive::list<Waiter, intrusive::constant_time_size<false>> ready_;
   TimerWheel<Timer> timers_;
@@ -138,8 +162,8 @@
   Scope(const Scope&) = delete;
   Scope& operator=(const Scope&) = delete;
 
-  // Starts after those that are ready now. An exception that leaves the task ends the program: whoever can
-  // fail catches.
+  // Starts after those that are ready now. An exception that leaves the task ends that task alone and goes to
+  // Loop::task_failed().
   void spawn(Task<> task);
   void cancel();
   bool empty() const { return roots_.empty(); }
@@ -148,6 +172,7 @@
   struct Root {
     struct promise_type : Framed, intrusive::list_base_hook<AutoUnlink> {
       Waiter start;
+      Loop* loop{};
       Root get_return_object() { return {std::coroutine_handle<promise_type>::from_promise(*this)}; }
       std::suspend_always initial_suspend() noexcept { return {}; }
       struct End {
@@ -157,7 +182,7 @@
       };
       End final_suspend() noexcept { return {}; }
       void return_void() noexcept {}
-      [[noreturn]] void unhandled_exception() noexcept { std::terminate(); }
+      void unhandled_exception() noexcept { loop->task_failed(std::current_exception()); }
     };
     std::coroutine_handle<promise_type> handle;
   };
--- a/io/signals.cpp
+++ b/io/signals.cpp
@@ -20,7 +20,7 @@
 }
 }  // namespace
 
-Signals::Signals(Loop& loop, std::initializer_list<int> numbers) : numbers_(numbers) {
+Signals::Signals(Loop& loop, std::initializer_list<int> numbers) : loop_(loop), numbers_(numbers) {
   int pair[2];
   if (socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0, pair) != 0)
     throw std::system_error(errno, std::generic_category(), "socketpair");
@@ -36,7 +36,8 @@
 
 Task<int> Signals::wait() {
   std::array<char, 1> number{};
-  co_await heard_.read_some(number);
+  // A read that fails tells of no signal.
+  while ((co_await heard_.read_some(number)).bytes == 0) co_await loop_.sleep_for(kLackPause);
   co_return number[0];
 }
 
--- a/io/signals.h
+++ b/io/signals.h
@@ -16,6 +16,7 @@
   Task<int> wait();
 
  private:
+  Loop& loop_;
   Socket heard_;
   int told_;
   std::vector<int> numbers_;
--- a/io/socket.cpp
+++ b/io/socket.cpp
@@ -45,6 +45,16 @@
   setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &times, sizeof times);
   return 4;
 }
+// What became of a connect (SO_ERROR), or why that is not known.
+int pending_error(Loop& loop, int fd) {
+  int pending = 0;
+  socklen_t size = sizeof pending;
+  loop.called(Call::getsockopt);
+  if (getsockopt(fd, SOL_SOCKET, SO_ERROR, &pending, &size) == 0) return pending;
+  const int error = errno;
+  loop.failed(Call::getsockopt, error);
+  return error;
+}
 }  // namespace
 
 std::string Address::text() const {
@@ -83,8 +93,18 @@
   Side side;
 };
 
-Socket::Socket(Loop& loop, int fd) : state_(std::make_unique<State>(State{loop, fd, {}, 0})) {
-  loop.watch(fd, state_->watch);
+Socket::Socket(Loop& loop, int fd) {
+  const int error = adopt(loop, fd, *this);
+  if (error == 0) return;
+  ::close(fd);
+  throw std::system_error(error, std::generic_category(), "epoll_ctl");
+}
+
+int Socket::adopt(Loop& loop, int fd, Socket& to) {
+  auto state = std::unique_ptr<State>(new State{loop, fd, {}, 0, false, false, false});
+  const int error = loop.watch(fd, state->watch);
+  if (error == 0) to.state_ = std::move(state);
+  return error;
 }
 
 Socket& Socket::operator=(Socket&& other) noexcept {
@@ -111,12 +131,31 @@
   state_.reset();
 }
 
+Task<bool> Socket::again(Call call, int error) {
+  const Failure failure = classify(call, error);
+  if (failure != Failure::interrupted) co_return false;
+  state_->loop.failed(call, error);
+  co_return true;
+}
+
+// A read that ends short mostly means that nothing is left, and the kernel tells of what comes (epoll(7)). It may also end
+// short by itself, and then nothing is told: so after a while it is looked once.
+Task<> Socket::becomes_readable() {
+  constexpr Nanos kLookAfter = 50 * kMs;
+  Ready ready(state_->watch, Side::read);
+  Timer timer;
+  if (state_->looked) state_->loop.set(timer, state_->loop.now() + kLookAfter, ready);
+  co_await ready;
+  if (!state_ || state_->watch.readable || state_->watch.stopped) co_return;
+  state_->looked = state_->looking = state_->watch.readable = true;
+}
+
 Task<Moved> Socket::read_some(std::span<char> to) {
   for (;;) {
     if (!state_) co_return Moved{0, EBADF};
     if (std::exchange(state_->watch.stopped, false)) co_return Moved{0, ECANCELED};
     if (!state_->watch.readable && !state_->watch.unread) {
-      co_await Ready(state_->watch, Side::read);
+      co_await becomes_readable();
       continue;
     }
     // What was seen and left may be more than one read takes, and no further word of it comes.
@@ -125,14 +164,18 @@
     const ssize_t n = ::recv(state_->fd, to.data(), to.size(), 0);
     if (n >= 0) {
       state_->loop.moved(-n);
-      // Less than was asked for: nothing is left, and the next bytes will be told of (epoll(7)).
-      if (static_cast<std::size_t>(n) < to.size()) state_->watch.readable = state_->watch.hung;
+      state_->short_reads |= std::exchange(state_->looking, false) && n > 0;
+      state_->looked = false;
+      const bool may_be_all = static_cast<std::size_t>(n) < to.size() && !state_->short_reads;
+      if (may_be_all) state_->watch.readable = state_->watch.hung;
       co_return Moved{static_cast<std::size_t>(n), 0};
     }
-    if (errno == EINTR) continue;
-    if (errno != EAGAIN) co_return Moved{0, errno};
-    state_->watch.readable = false;
-    co_await Ready(state_->watch, Side::read);
+    const int error = errno;
+    if (error == EAGAIN) {
+      state_->watch.readable = state_->looking = false;
+    } else if (!co_await again(Call::recv, error)) {
+      co_return Moved{0, error};
+    }
   }
 }
 
@@ -176,14 +219,15 @@
     if (!state_) co_return Moved{sent, EBADF};
     state_->loop.called(Call::send);
     const ssize_t n = ::send(state_->fd, from.data() + sent, from.size() - sent, MSG_NOSIGNAL);
+    const int error = n < 0 ? errno : 0;
     if (n > 0) {
       state_->loop.moved(n);
       sent += static_cast<std::size_t>(n);
-      continue;
+    } else if (error == EAGAIN) {
+      if (!co_await becomes_writable()) co_return Moved{sent, ETIMEDOUT};
+    } else if (!co_await again(Call::send, error == 0 ? ENOBUFS : error)) {
+      co_return Moved{sent, error};
     }
-    if (errno == EINTR) continue;
-    if (errno != EAGAIN) co_return Moved{sent, errno};
-    if (!co_await becomes_writable()) co_return Moved{sent, ETIMEDOUT};
   }
   co_return Moved{sent, 0};
 }
@@ -217,9 +261,12 @@
       }
       continue;
     }
-    if (errno == EINTR) continue;
-    if (errno != EAGAIN) co_return Moved{sent, errno};
-    if (!co_await becomes_writable()) co_return Moved{sent, ETIMEDOUT};
+    const int error = took < 0 ? errno : 0;
+    if (error == EAGAIN) {
+      if (!co_await becomes_writable()) co_return Moved{sent, ETIMEDOUT};
+    } else if (!co_await again(Call::send, error == 0 ? ENOBUFS : error)) {
+      co_return Moved{sent, error};
+    }
   }
 }
 
@@ -231,7 +278,12 @@
       continue;
     }
     const ssize_t n = look();
-    if (n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR)) co_return;
+    const int error = n < 0 ? errno : 0;
+    if (n == 0) co_return;
+    if (error != 0 && error != EAGAIN) {
+      if (!co_await again(Call::recv, error)) co_return;
+      continue;
+    }
     // Unread bytes hide the peer's end from a look at the first of them; the kernel has told of it (EPOLLRDHUP).
     if (n > 0 && state_->watch.hung) co_return;
     state_->watch.readable = false, state_->watch.unread = n > 0;
@@ -249,37 +301,52 @@
 bool Socket::spoiled() const {
   if (!state_) return true;
   const ssize_t seen = look();
-  return seen >= 0 || errno != EAGAIN;
+  return seen >= 0 || classify(Call::recv, errno) != Failure::would_block;
 }
 
 bool Socket::has_unread() const { return state_ && look() > 0; }
 
 ssize_t Socket::look() const {
   char one;
-  state_->loop.called(Call::recv);
-  return ::recv(state_->fd, &one, 1, MSG_PEEK);
+  for (;;) {
+    state_->loop.called(Call::recv);
+    const ssize_t n = ::recv(state_->fd, &one, 1, MSG_PEEK);
+    if (n >= 0 || errno != EINTR) return n;
+    state_->loop.failed(Call::recv, EINTR);
+  }
 }
 
 Task<Moved> connect(Loop& loop, Address address, Socket& to) {
   loop.called(Call::socket);
   const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  if (fd < 0) co_return Moved{0, errno};
+  if (fd < 0) {
+    const int error = errno;
+    loop.failed(Call::socket, error);
+    co_return Moved{0, error};
+  }
   loop.called(Call::setsockopt, no_delay(fd) + keep_asking(fd));
   loop.called(Call::connect);
   const sockaddr_in target = raw(address);
   const int begun = ::connect(fd, reinterpret_cast<const sockaddr*>(&target), sizeof target);
   const int error = begun == 0 ? 0 : errno;
-  Socket socket(loop, fd);
-  if (error != 0 && error != EINPROGRESS) co_return Moved{0, error};
-  if (error == EINPROGRESS) {
+  // One that was interrupted goes on by itself, as one that is under way: connect(2).
+  const bool under_way = error != 0 && classify(Call::connect, error) == Failure::would_block;
+  if (error != 0 && !under_way) {
+    if (classify(Call::connect, error) == Failure::local_lack) loop.failed(Call::connect, error);
+    ::close(fd);
+    co_return Moved{0, error};
+  }
+  if (error == EINTR) loop.failed(Call::connect, error);
+  Socket socket;
+  if (const int lack = Socket::adopt(loop, fd, socket); lack != 0) {
+    ::close(fd);
+    co_return Moved{0, lack};
+  }
+  if (under_way) {
     socket.state_->watch.writable = false;
     co_await Socket::Ready(socket.state_->watch, Socket::Side::write);
     if (!socket.state_) co_return Moved{0, EBADF};
-    int failed = 0;
-    socklen_t size = sizeof failed;
-    loop.called(Call::getsockopt);
-    getsockopt(fd, SOL_SOCKET, SO_ERROR, &failed, &size);
-    if (failed != 0) co_return Moved{0, failed};
+    if (const int failed = pending_error(loop, fd); failed != 0) co_return Moved{0, failed};
   }
   to = std::move(socket);
   co_return Moved{0, 0};
@@ -300,28 +367,59 @@
   address_.port = ntohs(taken.sin_port);
 }
 
+void Listener::close() {
+  socket_.close();
+  if (unregistered_ >= 0) ::close(std::exchange(unregistered_, -1));
+}
+
 Task<Socket> Listener::accept() {
-  for (;;) {
-    if (!socket_.is_open()) co_return Socket{};
-    Socket accepted = accept_now();
-    if (accepted.is_open()) co_return accepted;
-    if (errno == EMFILE || errno == ENFILE) {  // out of descriptors: let some close first
-      co_await loop_.sleep_for(50 * kMs);
+  int failures = 0;
+  while (socket_.is_open()) {
+    Socket accepted;
+    const int error = accept_now(accepted);
+    if (error == 0) co_return accepted;
+    if (error != EAGAIN) {
+      co_await wait_after(error, failures);
       continue;
     }
-    if (errno != EAGAIN) continue;  // one that broke before it was taken
     socket_.state_->watch.readable = false;
     co_await Socket::Ready(socket_.state_->watch, Socket::Side::read);
   }
+  co_return Socket{};
+}
+
+Task<Socket> Listener::accept_queued() {
+  int failures = 0;
+  while (socket_.is_open()) {
+    Socket accepted;
+    const int error = accept_now(accepted);
+    if (error == 0) co_return accepted;
+    if (error == EAGAIN) break;
+    co_await wait_after(error, failures);
+  }
+  co_return Socket{};
 }
 
-Socket Listener::accept_now() {
-  if (!socket_.is_open()) return {};
-  loop_.called(Call::accept4);
-  const int fd = ::accept4(socket_.fd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-  if (fd < 0) return {};
-  loop_.called(Call::setsockopt, no_delay(fd));
-  return Socket(loop_, fd);
+// Guards against a loop that stands still for all connections while accept fails: a lack of this machine passes in time,
+// and a queue full of broken connections is gone through a few at a time.
+Task<> Listener::wait_after(int error, int& failures) {
+  constexpr int kAtOnce = 4;
+  loop_.failed(Call::accept4, error);
+  if (classify(Call::accept4, error) != Failure::local_lack && ++failures % kAtOnce != 0) co_return;
+  co_await loop_.sleep_for(kLackPause);
+}
+
+int Listener::accept_now(Socket& to) {
+  if (unregistered_ < 0) {
+    loop_.called(Call::accept4);
+    unregistered_ = ::accept4(socket_.fd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (unregistered_ < 0) return errno;
+    loop_.called(Call::setsockopt, no_delay(unregistered_));
+  }
+  // One that cannot be registered is kept: its client may have sent a request.
+  const int error = Socket::adopt(loop_, unregistered_, to);
+  if (error == 0) unregistered_ = -1;
+  return error;
 }
 
 void Listener::backlog(int n) {
--- a/io/socket.h
+++ b/io/socket.h
@@ -33,7 +33,10 @@
 class Socket {
  public:
   Socket() = default;
+  // Takes the descriptor, and closes it where it cannot be registered: throws std::system_error then.
   Socket(Loop& loop, int fd);
+  // The same without an exception: an open socket, or errno and the descriptor still the caller's.
+  static int adopt(Loop& loop, int fd, Socket& to);
   Socket(Socket&&) noexcept = default;
   Socket& operator=(Socket&&) noexcept;
   ~Socket() { close(); }
@@ -60,6 +63,8 @@
   bool spoiled() const;
   // Whether bytes have come that nobody has read. Closing now would reset the connection.
   bool has_unread() const;
+  // When the kernel last told that something came.
+  Nanos arrived() const { return state_ ? state_->watch.arrived : 0; }
 
  private:
   friend Task<Moved> connect(Loop&, Address, Socket&);
@@ -71,8 +76,14 @@
     int fd;
     Watch watch;
     Nanos write_stall{};
+    bool looked{};       // since its last read, it was looked whether more is there without word of it
+    bool looking{};      // the next read is that look
+    bool short_reads{};  // reads of this socket end short though more is there
   };
+  Task<> becomes_readable();
   Task<bool> becomes_writable();
+  // Whether the call that failed is to be made again: waits first as long as that takes.
+  Task<bool> again(Call call, int error);
   // Bytes that were written and that the peer has not acknowledged, or 0 where the kernel does not tell.
   int queued() const;
   // Looks at the first unread byte and leaves it: recv(2)'s answer.
@@ -87,18 +98,29 @@
  public:
   // Port 0 takes a free port; address() tells which. Throws std::system_error when the address is taken.
   Listener(Loop& loop, Address address, int backlog = 1024);
+  ~Listener() { close(); }
+  Listener(const Listener&) = delete;
+  Listener& operator=(const Listener&) = delete;
+
   const Address& address() const { return address_; }
+  // The next connection. None once the listener is closed.
   Task<Socket> accept();
-  // One that waits in the queue, or none.
-  Socket accept_now();
-  void close() { socket_.close(); }
+  // The next of those that wait in the queue; none once the queue is empty. Lacks of this machine are waited out.
+  Task<Socket> accept_queued();
+  void close();
   bool is_open() const { return socket_.is_open(); }
   void backlog(int n);
 
+  // One that waits in the queue, or errno.
+  int accept_now(Socket& to);
+
  private:
+  Task<> wait_after(int error, int& failures);
+
   Loop& loop_;
   Socket socket_;
   Address address_;
+  int unregistered_{-1};  // taken from the queue, and could not be registered yet
 };
 
 }  // namespace cressrill::io
