--- a/tests/fault_test.cpp
+++ b/tests/fault_test.cpp
@@ -89,6 +89,75 @@
   }
 }
 
+// An interrupted connect goes on by itself; a lack on this machine is no worker's fault and passes.
+TEST_CASE(
+    "a connect that is interrupted, or fails for a lack on this machine, costs no request and no worker") {
+  const std::pair<FaultyCall, int> faults[] = {
+      {FaultyCall::connect, EINTR},       {FaultyCall::connect, EADDRNOTAVAIL},
+      {FaultyCall::connect, ENETUNREACH}, {FaultyCall::connect, EAGAIN},
+      {FaultyCall::connect, ENOBUFS},     {FaultyCall::socket, ENOBUFS},
+      {FaultyCall::socket, ENOMEM},       {FaultyCall::socket, EMFILE},
+      {FaultyCall::socket, ENFILE},       {FaultyCall::get_option, ENOBUFS}};
+  for (const auto& [call, error] : faults) {
+    CAPTURE(std::string(word(call)));
+    CAPTURE(error);
+    Site s(1, 1);
+    RawClient client(s.node->address());
+    client.write(Site::call("a1"));
+    {
+      Fault fault(call, error, 5);
+      s.pass(30);
+      CHECK(fault.injected() > 0);
+    }
+    s.pass(600);
+    client.read();
+    CHECK(served_whole(client.text()));
+    CHECK(s.lines("POST") == 2);
+  }
+}
+
+TEST_CASE("reads and writes of a few bytes each bring every request and stream through") {
+  for (const FaultyCall call : {FaultyCall::receive, FaultyCall::send})
+    for (const std::uint32_t most : {1u, 7u, 100u}) {
+      CAPTURE(std::string(word(call)));
+      CAPTURE(most);
+      Site s(1, 1);
+      RawClient client(s.node->address());
+      client.write(Site::call("a1"));
+      {
+        ShortTransfers few(call, most);
+        s.pass(1000);
+        CHECK(few.injected() > 0);
+      }
+      s.pass(100);
+      client.read();
+      CHECK(served_whole(client.text()));
+    }
+}
+
+TEST_CASE(
+    "calls that are interrupted, or fail for want of memory, on connections that are up are made again") {
+  const std::pair<FaultyCall, int> faults[] = {{FaultyCall::receive, EINTR}, {FaultyCall::receive, ENOMEM},
+                                               {FaultyCall::send, EINTR},    {FaultyCall::send, ENOBUFS},
+                                               {FaultyCall::send, ENOMEM},   {FaultyCall::epoll_wait, EINTR}};
+  for (const auto& [call, error] : faults) {
+    CAPTURE(std::string(word(call)));
+    CAPTURE(error);
+    Site s(1, 1);
+    RawClient client(s.node->address());
+    client.write(Site::call("a1"));
+    {
+      Fault fault(call, error, 40, 2);
+      s.pass(1000);
+      CHECK(fault.injected() > 0);
+    }
+    s.pass(100);
+    client.read();
+    CHECK(served_whole(client.text()));
+    CHECK(s.lines("POST") == 2);
+  }
+}
+
 // The kernel tells of a client's end once; a look at the socket that is interrupted just then must not lose it.
 TEST_CASE("a client that leaves while looks at its connection are interrupted has left") {
   Site s(1, 1);
