Lacks of this machine are waited out, and a short read is no sign that nothing is left

Cause: Pool::take() gave up at once for EMFILE and ENFILE, and knew no other lack: a request spent its attempts within a millisecond, and ENOBUFS, EADDRNOTAVAIL or ENETUNREACH counted as refusals of the worker. Socket::read_some() cleared 'readable' after any read that was shorter than asked for; edge-triggered epoll tells of bytes once, so the rest was never read. ENOMEM and ENOBUFS of recv and send were taken for a broken connection.

Change: a connect that this machine lacks something for is made again each 5 ms within the same 250 ms, and is 'crowded' (no worker's fault) if that does not help; calls that fail for a lack are made again after 5 ms; a socket whose read ended short is looked at once after 50 ms without a word, and one that then has bytes is read until EAGAIN from there on. No further call in ordinary service while events come.

--- a/http/client.cpp
+++ b/http/client.cpp
@@ -82,9 +82,15 @@
   if (bounds_.budget) ++bounds_.budget->open_;
   Counted counted{this};
   auto connection = std::make_unique<Connection>();
-  const auto moved = co_await io::within(loop_, until, io::connect(loop_, peer_, connection->socket));
-  crowded = moved && (moved->error == EMFILE || moved->error == ENFILE);
-  if (!moved || !moved->ok()) co_return nullptr;
+  for (;;) {
+    const auto moved = co_await io::within(loop_, until, io::connect(loop_, peer_, connection->socket));
+    if (moved && moved->ok()) break;
+    // What this machine lacks just now is no fault of the peer, and may be there again in time.
+    crowded = moved && io::classify(io::Call::connect, moved->error) == io::Failure::local_lack;
+    if (!crowded || loop_.now() + io::kLackPause >= until) co_return nullptr;
+    co_await loop_.sleep_for(io::kLackPause);
+  }
+  crowded = false;
   counted.pool = nullptr;
   connection->reader = std::make_unique<Reader>(connection->socket, Kind::response);
   co_return connection;
--- a/io/socket.cpp
+++ b/io/socket.cpp
@@ -133,8 +133,9 @@
 
 Task<bool> Socket::again(Call call, int error) {
   const Failure failure = classify(call, error);
-  if (failure != Failure::interrupted) co_return false;
+  if (failure != Failure::interrupted && failure != Failure::local_lack) co_return false;
   state_->loop.failed(call, error);
+  if (failure == Failure::local_lack) co_await state_->loop.sleep_for(kLackPause);
   co_return true;
 }
 
@@ -144,7 +145,7 @@
   constexpr Nanos kLookAfter = 50 * kMs;
   Ready ready(state_->watch, Side::read);
   Timer timer;
-  if (state_->looked) state_->loop.set(timer, state_->loop.now() + kLookAfter, ready);
+  if (!state_->looked) state_->loop.set(timer, state_->loop.now() + kLookAfter, ready);
   co_await ready;
   if (!state_ || state_->watch.readable || state_->watch.stopped) co_return;
   state_->looked = state_->looking = state_->watch.readable = true;
