--- a/tests/fault_test.cpp
+++ b/tests/fault_test.cpp
@@ -175,4 +175,24 @@
   CHECK(s.node->host().live() == 0);
 }
 
+TEST_CASE(
+    "connections that wait in the listener's queue as it closes are taken although accept is interrupted") {
+  for (const int error : {EINTR, ECONNABORTED, ENOBUFS}) {
+    CAPTURE(error);
+    Site s(1, 1);
+    RawClient client(s.node->address());
+    client.write(Site::call("a1"));
+    {
+      Fault fault(FaultyCall::accept, error, 3);
+      s.node->close();
+      s.pass(50);
+      CHECK(fault.injected() > 0);
+    }
+    s.pass(100);
+    client.read();
+    CHECK(client.text().starts_with("HTTP/1.1 503"));
+    CHECK(!client.reset());
+  }
+}
+
 }  // namespace cressrill::testing
