The listener's queue is emptied whatever accept says; starts are placed within what the monotonic clock allows

Cause: Server::stop_accepting() looped over accept4 and stopped at any error, so that one EINTR at SIGTERM + 0.7 s reset every connection that the machine had accepted.

Change: a coroutine takes the rest of the queue, waits out lacks, makes room where it is at its bound, and then closes the listener; the process is settled only after it. router/start_times.h: a start is placed no later than its telling, no earlier than 10 s before the list was last current, by the least offset of the wall clock that was seen; a start that differs is a restart, unless an agent that lags tells it.

--- a/http/server.cpp
+++ b/http/server.cpp
@@ -97,16 +97,24 @@
     idle.socket.stop_reading();
 }
 
-// Closes the listener, but first takes what the machine has accepted: a connection that is left in the listener's queue is
-// reset with the request that it carries.
 void Server::stop_accepting() {
   acceptor_.cancel();
-  while (open_ < connections_) {
-    io::Socket socket;
-    if (listener_.accept_now(socket) != 0) break;
+  accepting_rest_ = true;
+  acceptor_.spawn(accept_rest());
+  wind_down(true);
+}
+
+// Closes the listener, but first takes what the machine has accepted: a connection that is left in the listener's queue is
+// reset with the request that it carries.
+io::Task<> Server::accept_rest() {
+  for (;;) {
+    co_await room_for_one();
+    io::Socket socket = co_await listener_.accept_queued();
+    if (!socket.is_open()) break;
     begin(std::move(socket));
   }
   listener_.close();
+  accepting_rest_ = false;
   wind_down(true);
 }
 
@@ -171,11 +179,7 @@
 
 io::Task<> Server::accept() {
   for (;;) {
-    while (open_ >= connections_) {
-      if (open_ - evicted_ >= connections_) evict_one();
-      // Those that carried something now may carry nothing later, and nobody tells of that.
-      co_await io::wait_until(loop_, closed_, loop_.now() + kLook);
-    }
+    co_await room_for_one();
     io::Socket socket = co_await listener_.accept();
     if (!socket.is_open()) co_return;
     begin(std::move(socket));
@@ -183,6 +187,14 @@
   }
 }
 
+io::Task<> Server::room_for_one() {
+  while (open_ >= connections_) {
+    if (open_ - evicted_ >= connections_) evict_one();
+    // Those that carried something now may carry nothing later, and nobody tells of that.
+    co_await io::wait_until(loop_, closed_, loop_.now() + kLook);
+  }
+}
+
 void Server::begin(io::Socket socket) {
   ++open_;
   socket.limit_write_stall(write_stall_);
--- a/http/server.h
+++ b/http/server.h
@@ -76,6 +76,8 @@
   // carry.
   void stop_accepting();
   std::size_t connections() const { return open_; }
+  // Told to stop accepting, and the machine may still hold connections that it accepted and that nobody has taken.
+  bool accepting_rest() const { return accepting_rest_; }
   // Connections with a request in hand.
   std::size_t in_hand() const { return open_ - idle_count_; }
   // For stand-ins: takes a connection at most each so often, with no line of those that wait; 0 as usual.
@@ -94,6 +96,8 @@
   };
 
   io::Task<> accept();
+  io::Task<> accept_rest();
+  io::Task<> room_for_one();
   void begin(io::Socket socket);
   io::Task<> serve(io::Socket socket);
   io::Task<Fault> read_request(Session& session, Request& request);
@@ -111,6 +115,7 @@
   std::size_t connections_;
   std::size_t open_{};
   bool stopping_{};
+  bool accepting_rest_{};
   io::Nanos accept_each_{};
   // A connection that carries no whole request, from its beginning or its last answer on. In the list by that time.
   struct IdleConnection : io::intrusive::list_base_hook<io::AutoUnlink> {
--- a/io/loop.cpp
+++ b/io/loop.cpp
@@ -23,13 +23,16 @@
   if (epoll_ < 0) throw std::system_error(errno, std::generic_category(), "epoll_create1");
   if (time_ == Time::real) {
     read_clock();
-    wall_at_zero_ = clock_now(CLOCK_REALTIME) - now_;
   } else {
     now_ = kSecond;
-    wall_at_zero_ = 1'700'000'000 * kSecond;
   }
 }
 
+Nanos Loop::wall_offset() const {
+  constexpr Nanos kHandedOffset = 1'700'000'000 * kSecond;
+  return time_ == Time::real ? clock_now(CLOCK_REALTIME) - clock_now(CLOCK_MONOTONIC) : kHandedOffset;
+}
+
 Loop::~Loop() { ::close(epoll_); }
 
 void Loop::read_clock() {
--- a/io/loop.h
+++ b/io/loop.h
@@ -71,8 +71,9 @@
     read_clock();
     return now_;
   }
-  // Nanoseconds since 1970 that stand at now() == 0; fixed when the scheduler is made.
-  Nanos wall_at_zero() const { return wall_at_zero_; }
+  // Nanoseconds since 1970 that the wall clock of this machine shows at now() == 0, read anew: each step of that clock
+  // changes it.
+  Nanos wall_offset() const;
 
   // Runs until done() holds or nothing is left that could ever run. Returns whether done() held.
   bool run_until(const std::function<bool()>& done);
@@ -139,7 +140,6 @@
   int epoll_;
   Time time_;
   Nanos now_{};
-  Nanos wall_at_zero_{};
   bool stopped_{};
   std::uint64_t order_{};
   std::int64_t in_kernel_{};  // bytes written less bytes read: with both ends here, what is on its way
--- a/programs/engine.cpp
+++ b/programs/engine.cpp
@@ -47,7 +47,7 @@
     const auto tell = [&loop, &scope, pool, roster, e](bool up) {
       if (!pool) return;
       core::ListedWorker w = rig::listed(*e, up ? Standing::ready : Standing::gone);
-      if (e->started() > 0) w.started = e->started() + loop.wall_at_zero();
+      if (e->started() > 0) w.started = e->started() + loop.wall_offset();
       scope.spawn(tell_roster(pool, roster, std::move(w)));
     };
     e->on_change(tell);
--- a/router/fleet.cpp
+++ b/router/fleet.cpp
@@ -60,6 +60,7 @@
   link.kind = kind, link.zone = zone;
   link.cell = cells_.try_emplace(listed.cell, static_cast<int>(cells_.size())).first->second;
   const Standing standing = takes_back(list, listed, link) ? link.listed.standing : listed.standing;
+  note_start(list, listed.started, link);
   link.listed = listed;
   note_standing(list, standing, link);
   return &link;
@@ -75,6 +76,17 @@
   return !knows || list.version <= link.not_ready_version;
 }
 
+// A start that differs from the known one is a restart, also where the wall clock places it earlier; only an agent that
+// lags behind the one before it tells of an old one.
+void Fleet::note_start(const core::WorkerList& list, std::int64_t boot, Link& link) {
+  if (boot == 0 || boot == link.listed.started) return;
+  const bool lags = list.source != link.start_source && list.version <= link.start_version;
+  if (lags && boot < link.listed.started) return;
+  link.started = std::max(link.started + 1, start_times_.place(boot, loop_.now()));
+  link.start_version = list.version;
+  link.start_source = list.source;
+}
+
 void Fleet::note_standing(const core::WorkerList& list, Standing standing, Link& link) {
   link.listed.standing = standing;
   if (standing == Standing::ready) {
@@ -89,6 +101,7 @@
 void Fleet::take(const core::WorkerList& list, Policy& policy) {
   version_ = list.version;
   if (list.source != source_) source_ = list.source, source_version_ = list.version;
+  start_times_.note_wall_offset(loop_.wall_offset());
   policy.list_begins(loop_.now(), list.complete);
   if (list.complete) drop_unlisted(list);
   for (const core::ListedWorker& w : list.workers) {
@@ -96,12 +109,12 @@
     if (w.standing == Standing::gone && !index_.contains(w.name)) continue;  // never told of, or forgotten
     const Link* link = entry(list, w, index);
     if (link == nullptr) continue;
-    const Nanos started = w.started == 0 ? 0 : std::max<Nanos>(1, w.started - loop_.wall_at_zero());
-    policy.worker_listed(index, link->identity, link->listed.standing, started, link->kind, link->zone,
+    policy.worker_listed(index, link->identity, link->listed.standing, link->started, link->kind, link->zone,
                          link->cell);
   }
   for (auto& link : links_)
     if (link && link->listed.standing == Standing::gone) link->pool->drop_kept();
+  if (list.source > 0) confirm();
   policy.list_ends();
 }
 
--- a/router/fleet.h
+++ b/router/fleet.h
@@ -11,6 +11,7 @@
 #include "core/worker_list.h"
 #include "http/client.h"
 #include "policy.h"
+#include "start_times.h"
 
 namespace cressrill::router {
 
@@ -23,6 +24,9 @@
   io::Nanos not_ready_since{};        // told that it drains or is gone; 0: it is ready
   std::uint64_t not_ready_version{};  // of the list that told it, and who told that
   int not_ready_source{};
+  io::Nanos started{};            // on the monotonic clock; 0: long ago
+  std::uint64_t start_version{};  // of the list that told that start, and who told it
+  int start_source{};
   io::Nanos heard{};                 // an attempt's answer came last
   std::shared_ptr<http::Pool> pool;  // attempts that are out keep an old address's pool alive
 };
@@ -32,6 +36,8 @@
   Fleet(io::Loop& loop, const core::Station& station, core::Log& log);
   // Takes a list and tells the decisions. Entries that cannot be used are logged and left out.
   void take(const core::WorkerList& list, Policy& policy);
+  // Discovery was heard, and the list in force is current.
+  void confirm() { start_times_.note_current(loop_.now()); }
   Link& at(int worker) { return *links_[static_cast<std::size_t>(worker)]; }
   const Link& at(int worker) const { return *links_[static_cast<std::size_t>(worker)]; }
   // Null where that worker is forgotten.
@@ -49,11 +55,13 @@
  private:
   Link* entry(const core::WorkerList& list, const core::ListedWorker& listed, int& index);
   bool takes_back(const core::WorkerList& list, const core::ListedWorker& listed, const Link& link) const;
+  void note_start(const core::WorkerList& list, std::int64_t boot, Link& link);
   void note_standing(const core::WorkerList& list, Standing standing, Link& link);
   void drop_unlisted(const core::WorkerList& list);
   io::Loop& loop_;
   const core::Station& station_;
   core::Log& log_;
+  StartTimes start_times_;
   std::uint64_t version_{};
   int source_{};                                    // of the last list,
   std::uint64_t source_version_{};                  // and the version of the first that it told
--- a/router/host.h
+++ b/router/host.h
@@ -28,6 +28,8 @@
   // One request of a client, from its reading to its last byte.
   io::Task<> serve(http::Request& request, http::Answer& answer);
   void listed(const core::WorkerList& list);
+  // Discovery was heard, and had nothing new.
+  void list_confirmed() { fleet_.confirm(); }
   void list_failed();
   const Fleet& fleet() const { return fleet_; }
   std::size_t live() const { return live_; }
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -39,7 +39,7 @@
     fleet = std::make_unique<router::Fleet>(loop, station, log);
   }
   // The wall clock, as it stands without a step.
-  io::Nanos wall() const { return loop.wall_at_zero() + loop.now(); }
+  io::Nanos wall() const { return loop.wall_offset() + loop.now(); }
   void list(io::Nanos started, bool complete = false) {
     core::WorkerList told{++version, complete, {}};
     told.source = 1;
@@ -86,6 +86,32 @@
   CHECK(t.start() >= t.loop.now() - 100 * kMs);
 }
 
+TEST_CASE(
+    "after a long quiet time a start that the wall clock places within it is no earlier than the last "
+    "answer") {
+  Told t;
+  t.list(0, true);
+  for (int i = 0; i < 720; ++i) {
+    t.pass(10 * kSecond);
+    t.fleet->confirm();
+  }
+  t.list(t.wall() - 100 * kMs - kHour);
+  CHECK(t.start() == t.loop.now());
+}
+
+TEST_CASE("a list of an agent that lags behind the one before it names an old start: that is no restart") {
+  Told t;
+  t.list(t.wall() - 2 * kSecond, true);
+  t.pass(20 * kSecond);
+  t.list(t.wall() - 1 * kSecond);
+  const Nanos start = t.start();
+  core::WorkerList old{
+      1, true, {{"w", "127.0.0.1:1", Standing::ready, t.wall() - 22 * kSecond, "decode", "east", "3"}}};
+  old.source = 2;
+  t.fleet->take(old, t.policy);
+  CHECK(t.start() == start);
+}
+
 TEST_CASE("a start that the wall clock places well is where it says, also told late") {
   Told t;
   t.list(0, true);
--- a/tests/world.h
+++ b/tests/world.h
@@ -109,7 +109,7 @@
       roster.change(rig::listed(*e, Standing::ready));
       e->on_change([this, e](bool up) {
         core::ListedWorker w = rig::listed(*e, up ? Standing::ready : Standing::gone);
-        if (e->started() > 0) w.started = e->started() + loop.wall_at_zero();
+        if (e->started() > 0) w.started = e->started() + loop.wall_offset();
         roster.change(w);
       });
     }
