Three more tests that fail: time of a request that waited, requests read behind another, half a head on a rested connection

Measured on this commit: a request that waited 1 s behind another on its connection tells its worker the whole 3 s; two requests that were read behind the one in hand get no answer as the process drains or closes (1 answer of 3); a client that stops in mid-head on a connection that rested 0.1 s hears nothing for 4.9 s, and one that begins after 4.7 s is cut 0.3 s later.

--- a/tests/attempt_begin_test.cpp
+++ b/tests/attempt_begin_test.cpp
@@ -135,4 +135,32 @@
   CHECK(s.lines("POST") == 4);
 }
 
+// Guards against a deadline that is passed on longer than the client has left: its time runs while a request waits behind
+// another on its connection, read or not.
+TEST_CASE("a request that waited behind another on its connection has the time that is left since it came") {
+  for (const bool read_at_once : {true, false}) {
+    CAPTURE(read_at_once);
+    json settings = small_settings();
+    settings["caps"]["attemptsCap"] = 2;  // each attempt has all of the time
+    Site s(1, 1, settings);
+    s.worker("writer-0").acts = {{"", Act::Then::keep, 1000 * kMs, true}};
+    RawClient client(s.node->address());
+    client.write(read_at_once ? Site::call("a1") + Site::call("a2", Site::prompt(), "3000")
+                              : Site::call("a1"));
+    s.pass(100);
+    if (!read_at_once) client.write(Site::call("a2", Site::prompt(), "3000"));
+    s.pass(1800);
+    const auto& heads = s.worker("reader-0").heads;
+    const auto second = std::ranges::find_if(
+        heads, [](const std::string& h) { return h.find("x-call-id: a2\n") != std::string::npos; });
+    REQUIRE(second != heads.end());
+    const std::string& fields = *second;
+    const std::size_t at = fields.find("x-budget-ms: ");
+    REQUIRE(at != std::string::npos);
+    const int told = std::stoi(fields.substr(at + 13));
+    CHECK(told <= 3000 - 900);
+    CHECK(told >= 3000 - 1300);
+  }
+}
+
 }  // namespace cressrill::testing
--- a/tests/client_connection_test.cpp
+++ b/tests/client_connection_test.cpp
@@ -189,4 +189,28 @@
   CHECK(events == 3);
 }
 
+// A client that stops in the middle of a request is owed its error within 3 s, wherever its connection stood before.
+TEST_CASE(
+    "half a request on a connection that rested is answered within 3 s of its first byte, and not at once") {
+  for (const std::int64_t rested : {100, 2300, 4700}) {
+    CAPTURE(rested);
+    Site s(1, 1);
+    RawClient client(s.node->address());
+    client.write(Site::call("a1"));
+    s.pass(200);
+    client.read();
+    REQUIRE(served_whole(client.text()));
+    client.forget_text();
+    s.pass(rested);
+    client.write(Site::call("a2").substr(0, 40));
+    s.pass(2000);
+    client.read();
+    CHECK(client.text().empty());
+    s.pass(950);
+    client.read();
+    CHECK(client.text().starts_with("HTTP/1.1 408"));
+    CHECK(client.ended());
+  }
+}
+
 }  // namespace cressrill::testing
--- a/tests/shutdown_test.cpp
+++ b/tests/shutdown_test.cpp
@@ -120,4 +120,27 @@
   CHECK(s.node->settled());
 }
 
+// Guards against a request that was read with the one before it, and whose connection then ends without its answer.
+TEST_CASE("requests that were read behind another one as the process drains or closes are answered, each") {
+  for (const bool closes : {false, true}) {
+    CAPTURE(closes);
+    Site s(1, 1);
+    s.worker("writer-0").acts = {{"", Act::Then::keep, 200 * kMs, true}};
+    RawClient client(s.node->address());
+    client.write(Site::call("a1") + Site::call("a2") + Site::call("a3").substr(0, 50));
+    s.pass(100);
+    closes ? s.node->close() : s.node->drain();
+    s.pass(400);
+    client.write(Site::call("a3").substr(50));
+    s.pass(500);
+    client.read();
+    std::size_t answers = 0;
+    for (std::size_t at = 0; (at = client.text().find("HTTP/1.1 ", at)) != std::string::npos; ++at) ++answers;
+    CHECK(answers == 3);
+    CHECK(client.text().starts_with("HTTP/1.1 200"));
+    CHECK(client.ended());
+    CHECK(!client.reset());
+  }
+}
+
 }  // namespace cressrill::testing
