A request's time counts from its arrival; what was read is answered as the process ends; half heads are overdue

Cause: Server::serve() set Request::came when it looked at a request, and a request that waits behind another on its connection may have come seconds before ('told 3000' where 2,000 ms were left). As the process drains or closes, serve() ended the connection after the answer in hand, with whole requests and parts of them read and dropped. Between requests a part of a head counted as idle (5 s from the last answer): a client that stops in mid-head was owed its error within 3 s, and one that began late was cut at once.

Change: epoll's word of new bytes carries its time to Request::came (Watch::arrived, Reader::received_at); a connection ends at shutdown only once nothing that was read of it is unanswered; 2.5 s run from the first byte of a later request, within the 0.1 s between two looks.

--- a/http/message.cpp
+++ b/http/message.cpp
@@ -156,6 +156,7 @@
   std::size_t used{};
   std::size_t size{};
   bool filled{};
+  io::Nanos received_at{};
 
   void fresh(Head* head) {
     target.head = head, target.pieces.clear(), handed = false;
@@ -196,6 +197,7 @@
     if (!got.ok()) co_return Fault::closed;
     if (got.bytes > 0) {
       size += got.bytes;
+      received_at = socket.arrived();
       filled = size == room;
       co_return Fault::none;
     }
@@ -276,6 +278,7 @@
   return !parts_->sink->done() || (!parts_->handed && !parts_->target.pieces.empty());
 }
 bool Reader::leftover() const { return parts_->used < parts_->size; }
+io::Nanos Reader::received_at() const { return parts_->received_at; }
 bool Reader::started() const { return parts_->sink->started() || leftover(); }
 
 std::string request_head(std::string_view method, std::string_view target, std::string_view host,
--- a/http/message.h
+++ b/http/message.h
@@ -81,6 +81,8 @@
   bool leftover() const;
   // Whether any byte of the message that is being read has come.
   bool started() const;
+  // When the last of the bytes that were read had come, which may be long before they were read.
+  io::Nanos received_at() const;
 
  private:
   struct Parts;
--- a/http/server.cpp
+++ b/http/server.cpp
@@ -135,7 +135,9 @@
   for (;;) {
     co_await loop_.sleep_for(kLook);
     // A request may be on its way on one that rests; who has not brought one, or lingers, is owed no more time.
-    end_idle_if([this](const IdleConnection& idle) {
+    end_idle_if([this](IdleConnection& idle) {
+      const bool begins = !idle.first && idle.half_read() && !std::exchange(idle.part_seen, true);
+      if (begins) idle.due = due(timeouts_.request - kLook);  // it came since the last look
       if (idle.due > loop_.now()) return Ending::stays;
       if (idle.half_read()) return Ending::timed_out;
       if (idle.between_requests()) return Ending::ended;
@@ -231,7 +233,6 @@
                       &session.reader);
   idle.first = first;
   Fault fault = co_await session.reader.head(request.head);
-  if (!first) idle.due = due(timeouts_.request);
   // RFC 9110, 10.1.1: the client may wait to be asked for the body.
   if (fault == Fault::none && request.head.field("expect") == "100-continue" && session.reader.more())
     co_await session.socket.write_all("HTTP/1.1 100 Continue\r\n\r\n");
@@ -259,11 +260,13 @@
       co_await refuse(socket, fault, session.evicted);
       break;
     }
-    request.came = loop_.now();
-    Answer answer(socket, request.head.keep_alive && !stopping_);
+    request.came = std::min(loop_.now(), session.reader.received_at());
+    // What has been read of further requests is answered, too: their client will not send them again.
+    const auto ends = [&] { return stopping_ && !session.reader.leftover(); };
+    Answer answer(socket, request.head.keep_alive && !ends());
     co_await handler_(request, answer);
     if (!answer.begun() && socket.is_open()) answer.break_off();
-    on = answer.keep_alive() && !stopping_;
+    on = answer.keep_alive() && !ends();
     if (!on && !answer.broken()) co_await linger(socket, session.evicted);
   }
   socket.close();
--- a/http/server.h
+++ b/http/server.h
@@ -11,7 +11,7 @@
 struct Request {
   Head head;
   std::string body;  // with room for kSlack more
-  io::Nanos came{};  // when its last byte had been read
+  io::Nanos came{};  // when its last byte had come
 };
 
 // What a handler answers with. A handler writes one whole response, or a stream, and nothing else.
@@ -51,8 +51,8 @@
 // Bounds on how long a client may take; 0: no bound.
 struct Timeouts {
   io::Nanos first{};    // from connecting to the end of its first request
-  io::Nanos request{};  // from a later request's head to its end
-  io::Nanos idle{};     // between two requests; a head that has begun counts as idle
+  io::Nanos request{};  // from a later request's first byte to its end, within the time between two looks
+  io::Nanos idle{};     // between two requests
 };
 
 class Server {
@@ -131,6 +131,7 @@
     bool& evicted;
     const Reader* reader;          // of its requests; null where it lingers
     bool first{};                  // it has carried no request yet
+    bool part_seen{};              // a part of its next request has come, and 'due' counts from then
     Ending ending{Ending::stays};  // how this side ends it
     bool lingers() const { return reader == nullptr; }
     // A part of a request has come, read or not: its client is owed an answer.
--- a/router/host.cpp
+++ b/router/host.cpp
@@ -517,14 +517,16 @@
   Brief brief;
   auto read = protocol_.read(request, brief);
   if (const Reply* reply = std::get_if<Reply>(&read)) {
-    if (reply->refuses) counters_.refused(reply->status), answer.close_after();
+    if (reply->refuses) counters_.refused(reply->status);
+    if (reply->refuses && !reply->connection_stays) answer.close_after();
     co_await answer.whole(reply->status, reply->fields, reply->body);
     co_return;
   }
-  co_await converse(take(std::move(brief), std::move(std::get<std::unique_ptr<Talk>>(read))), answer);
+  auto& talk = std::get<std::unique_ptr<Talk>>(read);
+  co_await converse(take(std::move(brief), std::move(talk), request.came), answer);
 }
 
-std::shared_ptr<Host::Ask> Host::take(Brief brief, std::unique_ptr<Talk> talk) {
+std::shared_ptr<Host::Ask> Host::take(Brief brief, std::unique_ptr<Talk> talk, io::Nanos came) {
   auto ask = std::make_shared<Ask>(loop_, std::move(brief), std::move(talk));
   if (free_.empty()) {
     free_.push_back(static_cast<int>(asks_.size()));
@@ -532,7 +534,7 @@
   }
   ask->seq = free_.back();
   free_.pop_back();
-  ask->came = loop_.now();
+  ask->came = came;
   ask->abandon_at = ask->came + ask->brief.abandon_in;
   asks_[static_cast<std::size_t>(ask->seq)] = ask;
   counters_.live(++live_);
--- a/router/host.h
+++ b/router/host.h
@@ -112,7 +112,7 @@
   io::Task<> pump();
   void tell(Input& input);
   void tell_ended(Ask& ask, const Input& input);
-  std::shared_ptr<Ask> take(Brief brief, std::unique_ptr<Talk> talk);
+  std::shared_ptr<Ask> take(Brief brief, std::unique_ptr<Talk> talk, io::Nanos came);
   io::Task<> converse(std::shared_ptr<Ask> ask, http::Answer& answer);
   io::Task<> watch_client(std::shared_ptr<Ask> ask, http::Answer& answer);
   void client_left(const std::shared_ptr<Ask>& ask, http::Answer& answer);
--- a/router/protocol.h
+++ b/router/protocol.h
@@ -67,7 +67,8 @@
   int status{};
   std::string fields;
   std::string body;
-  bool refuses{};  // the connection ends after it
+  bool refuses{};           // nothing is done; the connection ends after it,
+  bool connection_stays{};  // unless what is sent behind may be sound
 };
 
 // How an answer to a client ends.
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -751,7 +751,9 @@
   }
 }
 
-TEST_CASE("told to end during an answer: all of it comes, then an orderly end, though more was sent behind") {
+TEST_CASE(
+    "told to end during an answer: all of it comes, what was read behind it is refused, then an orderly "
+    "end") {
   Site s(1, 1);
   s.worker("writer-0").events = 30;
   s.send("a", Site::call("a1") + Site::call("a2"), 0, 2);
@@ -760,7 +762,9 @@
   s.answer("a");
   REQUIRE(s.all["a"].size() == 2);
   CHECK(s.all["a"][0].body == whole_stream(30));
-  CHECK(s.all["a"][1].status == 0);
+  CHECK(s.all["a"][1].status == 503);
+  CHECK(s.all["a"][1].whole);
+  CHECK(s.answer("a").closed);
   CHECK(s.lines("POST") == 2);
 }
 
