A start beside an old process waits; the log never waits for its reader and counts the lines it loses

Cause: run_node() read its file once and let 'listen on ...: Address already in use' end the process; spdlog's sink writes to standard error with a call that blocks, so that a full pipe stopped every request, and a reader that had gone ended the process by SIGPIPE.

SIGPIPE is ignored.

--- a/core/log.h
+++ b/core/log.h
@@ -3,7 +3,6 @@
 #pragma once
 
 #include <fmt/format.h>
-#include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
 #include <chrono>
@@ -15,14 +14,16 @@
 #include <string_view>
 #include <variant>
 
+#include "log_sink.h"
+
 namespace cressrill::core {
 
 class Log {
  public:
   // level: trace, debug, info, warn, error, off. who: the instance, in every line.
   Log(const std::string& who, const std::string& level)
-      : to_("cressrill", std::make_shared<spdlog::sinks::stderr_sink_st>()) {
-    text(who_, who);
+      : who_(as_json(who)),
+        to_("cressrill", std::make_shared<LogSink>(std::string(who_.data(), who_.size()), STDERR_FILENO)) {
     to_.set_pattern("%v");
     to_.set_level(spdlog::level::from_str(level));
     to_.flush_on(spdlog::level::info);
@@ -59,6 +60,11 @@
       to.append(escaped.data(), escaped.data() + escaped.size());
     }
   }
+  static Buffer as_json(std::string_view value) {
+    Buffer out;
+    text(out, value);
+    return out;
+  }
   void line(spdlog::level::level_enum level, const char* event, Fields fields) {
     if (!to_.should_log(level)) return;
     line_.clear();
--- a/io/signals.cpp
+++ b/io/signals.cpp
@@ -44,6 +44,8 @@
 StopSignal::StopSignal(Loop& loop) : signals_(loop, {SIGTERM, SIGINT}) {}
 Task<> StopSignal::wait() { co_await signals_.wait(); }
 
+void ignore_broken_pipes() { std::signal(SIGPIPE, SIG_IGN); }
+
 void run_until_told(Loop& loop) {
   StopSignal stop(loop);
   Scope scope(loop);
--- a/io/signals.h
+++ b/io/signals.h
@@ -31,6 +31,9 @@
   Signals signals_;
 };
 
+// A write to a pipe or socket whose reader has gone fails with EPIPE, and does not end the process.
+void ignore_broken_pipes();
+
 // Runs until one of the signals comes.
 void run_until_told(Loop& loop);
 
--- a/programs/serve.h
+++ b/programs/serve.h
@@ -22,6 +22,7 @@
 }
 
 inline int serve(const core::Station& station, const router::MakePolicy& make) {
+  io::ignore_broken_pipes();
   io::Loop loop;
   core::Log log(station.name, station.log_level);
   std::random_device chance;
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -16,6 +16,18 @@
   CHECK(p.ask(Site::call("a1")).head.status == 200);
 }
 
+TEST_CASE("the program: told to end while it waits for its address, it ends") {
+  Program p;
+  io::Listener old_process(p.loop, p.address);
+  p.start();
+  CHECK(
+      p.until([&] { return !p.process.running() || p.log_text().find("start waits") != std::string::npos; }));
+  REQUIRE(p.process.running());
+  p.process.terminate();
+  CHECK(p.until([&] { return !p.process.running(); }));
+  CHECK(p.process.status() == 0);
+}
+
 TEST_CASE("the program: a configuration that is being written as it starts is looked at again") {
   Program p;
   p.write_config(p.config.dump().substr(0, 200));
@@ -35,12 +47,13 @@
     REQUIRE(::mkfifo(fifo.c_str(), 0600) == 0);
     int reader = ::open(fifo.c_str(), O_RDONLY | O_NONBLOCK);
     REQUIRE(reader >= 0);
+    ::fcntl(reader, F_SETPIPE_SZ, 4096);
     const bool full_disk = std::string_view(log) == "full disk";
     p.start("debug", full_disk ? "/dev/full" : fifo);
     REQUIRE(p.ready());
     if (std::string_view(log) == "its reader has gone") ::close(std::exchange(reader, -1));
-    // Some lines a request, and a pipe holds 64 KiB.
-    for (int i = 0; i < 150; ++i) {
+    // Some lines a request: more than the pipe holds.
+    for (int i = 0; i < 25; ++i) {
       CAPTURE(i);
       REQUIRE(p.ask(Site::call("a" + std::to_string(i))).head.status == 200);
     }
