--- a/tests/attempt_begin_test.cpp
+++ b/tests/attempt_begin_test.cpp
@@ -163,4 +163,24 @@
   }
 }
 
+// A worker may be told of 150 ms more than the client has left, and a router may be held up for as long between its clock and
+// its write: what it tells must not be more than is left as it reads the clock, and has to leave it time to answer.
+TEST_CASE(
+    "the time that an attempt tells its worker is no more than is left, with the router's own part taken "
+    "off") {
+  json settings = small_settings();
+  settings["caps"]["attemptsCap"] = 2;
+  Site s(1, 1, settings);
+  s.send("a", Site::call("a1", Site::prompt(), "1000"));
+  REQUIRE(s.answer("a").whole);
+  const auto told = [&](const std::string& name) {
+    const std::string& fields = s.worker(name).heads.at(0);
+    return std::stoi(fields.substr(fields.find("x-budget-ms: ") + 13));
+  };
+  CHECK(told("reader-0") <= 1000 - 10);
+  CHECK(told("reader-0") >= 1000 - 30);
+  CHECK(told("writer-0") <= 980 - 10);
+  CHECK(told("writer-0") >= 980 - 60);
+}
+
 }  // namespace cressrill::testing
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -165,4 +165,33 @@
   s.node.reset();
 }
 
+// Guards against a list that is never told, as each call for it is given up while it is being written.
+TEST_CASE("an agent that writes its list slowly is heard to the end") {
+  Site s(1, 2);
+  RawServer slow;
+  json targets = json::array();
+  for (auto& w : s.workers) targets.push_back(Site::target(*w, w->name == "writer-0" ? "draining" : "up"));
+  const std::string answer =
+      http::response_text(200, "", json{{"rev", 100}, {"all", true}, {"targets", targets}}.dump(), true);
+  struct Call {
+    std::unique_ptr<RawConnection> connection;
+    std::size_t sent{};
+  };
+  std::vector<Call> calls;
+  s.node->move_discovery(slow.address());
+  constexpr int kPieces = 30;  // one each 100 ms
+  for (int i = 0; i < 55 && s.listed_ready("writer-0"); ++i) {
+    while (auto taken = slow.accept()) calls.push_back({std::move(taken), 0});
+    for (Call& call : calls)
+      call.sent += call.connection->write(std::string_view(answer)
+                                              .substr(std::min(call.sent, answer.size()))
+                                              .substr(0, answer.size() / kPieces + 1));
+    s.pass(100);
+  }
+  CHECK(!s.listed_ready("writer-0"));
+  CHECK(calls.size() <= 8);
+  s.scope.cancel();
+  s.node.reset();
+}
+
 }  // namespace cressrill::testing
--- a/tests/shutdown_test.cpp
+++ b/tests/shutdown_test.cpp
@@ -143,4 +143,27 @@
   }
 }
 
+// What is read after the end of a connection cannot be answered. Left unread, the kernel tells its client by a reset, and the
+// client sends it again.
+TEST_CASE("a request that comes once its connection has been ended is not read") {
+  for (const bool between : {true, false}) {  // ended between two requests, or after an answer that ends it
+    CAPTURE(between);
+    Site s(1, 1);
+    RawClient client(s.node->address());
+    client.write(Site::call("a1"));
+    if (!between) s.pass(30), s.node->drain();
+    s.pass(300);
+    if (between) s.node->drain(), s.pass(5);
+    client.read();
+    REQUIRE(served_whole(client.text()));
+    REQUIRE(client.ended());
+    client.write(Site::call("a2"));
+    s.pass(1500);
+    client.write(" ");
+    client.read();
+    CHECK(client.reset());
+    CHECK(s.lines("POST") == 2);
+  }
+}
+
 }  // namespace cressrill::testing
