--- a/http/server.cpp
+++ b/http/server.cpp
@@ -207,17 +207,22 @@
   const int status = status_of(fault);
   const std::string body = refusal_ ? refusal_(status, fault) : std::string(word(fault)) + "\n";
   co_await socket.write_all(response_text(status, "content-type: application/json\r\n", body, false));
-  co_await linger(socket, evicted);
+  // Unread bytes of what was refused would reset the connection, and could take the answer with it.
+  co_await end_in_order(socket, evicted, StillRead::rest_of_refused);
 }
 
-// Closing with bytes unread would reset the connection and could take the answer with it, and so would bytes that
-// cross the end: ends the sending side, and reads on a while. What comes then is not taken. One that makes way for another
-// has no time for it.
-io::Task<> Server::linger(io::Socket& socket, bool& evicted) {
+// Ends the sending side behind what was written, so that it reaches the client, and waits a while for the client's own end.
+// One that makes way for another has no time for it.
+io::Task<> Server::end_in_order(io::Socket& socket, bool& evicted, StillRead still_read) {
   if (!socket.is_open() || evicted) co_return;
   const io::Nanos until = loop_.now() + kLinger;
   IdleConnection idle(*this, socket, until, evicted);
   ::shutdown(socket.fd(), SHUT_WR);
+  if (still_read == StillRead::nothing) {
+    // A request that crosses the end stays unread: the kernel tells its client by a reset, and it is sent again.
+    co_await io::within(loop_, until, client_ends(socket));
+    co_return;
+  }
   std::array<char, 16 * 1024> buffer;
   for (;;) {
     const auto got = co_await io::within(loop_, until, socket.read_some(buffer));
@@ -225,6 +230,11 @@
   }
 }
 
+io::Task<bool> Server::client_ends(io::Socket& socket) {
+  co_await socket.peer_gone();
+  co_return true;
+}
+
 // The next request of a connection, or why there is none.
 io::Task<Fault> Server::read_request(Session& session, Request& request) {
   request.body.clear();
@@ -252,7 +262,7 @@
   for (bool on = true; on && socket.is_open();) {
     const Fault fault = co_await read_request(session, request);
     if (session.ended) {
-      co_await linger(socket, session.evicted);
+      co_await end_in_order(socket, session.evicted, StillRead::nothing);
       break;
     }
     if (fault == Fault::closed) break;
@@ -267,7 +277,7 @@
     co_await handler_(request, answer);
     if (!answer.begun() && socket.is_open()) answer.break_off();
     on = answer.keep_alive() && !ends();
-    if (!on && !answer.broken()) co_await linger(socket, session.evicted);
+    if (!on && !answer.broken()) co_await end_in_order(socket, session.evicted, StillRead::nothing);
   }
   socket.close();
   evicted_ -= session.evicted;
--- a/http/server.h
+++ b/http/server.h
@@ -92,7 +92,7 @@
     Reader reader;
     std::size_t requests{};  // whose reading has begun
     bool evicted{};          // it was closed to make room
-    bool ended{};            // this side has ended it: what still comes is read, and nobody's
+    bool ended{};            // this side has ended it: what still comes is not read
   };
 
   io::Task<> accept();
@@ -140,8 +140,10 @@
   };
   io::Task<> end_overdue();
   void evict_one();
-  // Closes after an answer that ends its connection, so that what the client still sends cannot take it with it.
-  io::Task<> linger(io::Socket& socket, bool& evicted);
+  // What is read of a connection that this side has ended.
+  enum class StillRead { nothing, rest_of_refused };
+  io::Task<> end_in_order(io::Socket& socket, bool& evicted, StillRead still_read);
+  static io::Task<bool> client_ends(io::Socket& socket);
   std::size_t evicted_{};  // connections that were closed to make room, and have not ended yet
   template <class Judge>
   void end_idle_if(Judge judge);
--- a/router/host.cpp
+++ b/router/host.cpp
@@ -333,15 +333,24 @@
 // Asked where the first byte would leave: much may have happened since the decision, while the connection was being made.
 bool Host::may_begin(const Ask& ask, const Run& run) const {
   // Rule 3, for a drain that was told meanwhile.
+  const io::Nanos now = loop_.fresh_now();
   const io::Nanos not_ready_since = fleet_.at(run.worker).not_ready_since;
-  if (not_ready_since > run.sent && loop_.now() - not_ready_since > station_.drain_grace / 2) return false;
-  if (run.ended || loop_.now() >= run.deadline || loop_.now() >= run.begin_by) return false;
+  if (not_ready_since > run.sent && now - not_ready_since > station_.drain_grace / 2) return false;
+  if (run.ended || now >= run.deadline || now >= run.begin_by) return false;
   return !ask.client_left && ask.final == Final::none;
 }
 
+// What the router takes for its own answer at a client's deadline, as the module does.
+io::Nanos Host::answer_margin() const {
+  constexpr io::Nanos kOwnPart = 10 * io::kMs;
+  return 2 * station_.deployment.tick + kOwnPart;
+}
+
 Try Host::described(const Ask& ask, int k) const {
   const Run& run = *ask.runs[static_cast<std::size_t>(k)];
-  Try out{k, run.reads, fleet_.at(run.worker).listed.address, {}, run.deadline - loop_.now()};
+  // Read as the request is about to leave: a deadline that is passed on late would be longer than what the client has left.
+  const io::Nanos until = std::min(run.deadline, ask.abandon_at - answer_margin());
+  Try out{k, run.reads, fleet_.at(run.worker).listed.address, {}, until - loop_.fresh_now()};
   if (run.takes >= 0) out.state = ask.runs[static_cast<std::size_t>(run.takes)]->state;
   return out;
 }
--- a/router/host.h
+++ b/router/host.h
@@ -123,6 +123,7 @@
   void end(Ask& ask, int k, Outcome outcome, double kept = 0, const Report& report = {});
   io::Task<> attempt(std::shared_ptr<Ask> ask, int k);
   bool may_begin(const Ask& ask, const Run& run) const;
+  io::Nanos answer_margin() const;
   Try described(const Ask& ask, int k) const;
   io::Task<io::Moved> send_to(Ask& ask, int k, http::Connection& connection);
   io::Task<> out_of_time(std::shared_ptr<Ask> ask, int k);
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -27,10 +27,11 @@
 constexpr double kNear = 0.1;             // holders tie within this share of the read's time
 constexpr double kTieBand = 0.25;         // writers tie within this share of their memory
 constexpr double kRoom = 0.92;            // fuller writers push their newest answers back into the queue
-constexpr double kOthersRead = 0.5;  // of what others hold at a reader, half is read and waits for its fetch
-constexpr double kSmooth = 0.1;      // weight of a new sample in a smoothed wait
-constexpr double kLate = 3;          // an attempt is late past this multiple of what it should take,
-constexpr Nanos kGrace = 250 * kMs;  // and this much: a pause, a lost packet, a handshake
+constexpr double kOthersRead = 0.5;   // of what others hold at a reader, half is read and waits for its fetch
+constexpr double kSmooth = 0.1;       // weight of a new sample in a smoothed wait
+constexpr Nanos kHeldUp = 120 * kMs;  // a send may be held up so long past the rules' own slack of 50 ms
+constexpr double kLate = 3;           // an attempt is late past this multiple of what it should take,
+constexpr Nanos kGrace = 250 * kMs;   // and this much: a pause, a lost packet, a handshake
 constexpr Nanos kFullRest =
     150 * kMs;                     // one that said full or was not reached is let be: about an answer's end
 constexpr double kStrikesOut = 2;  // failures less than one success apart
@@ -746,7 +747,9 @@
   bool may_have_run(const Sequence& q) const {
     return q.maybe_ran || std::ranges::any_of(q.attempts, [](auto& a) { return a.out && !a.reads; });
   }
-  Nanos repeat_until(const Sequence& q) const { return q.maybe_ran_since + type(q).window - 2 * d_.tick; }
+  Nanos repeat_until(const Sequence& q) const {
+    return q.maybe_ran_since + type(q).window - 2 * d_.tick - kHeldUp;
+  }
   // It may not run twice, or is not recognised as a repeat any more.
   bool repeat_closed(const Sequence& q) const {
     const Effect effect = type(q).effect;
