Rules are checked at run time, guards say why, faults that are survived are counted and logged

Guards decide before something is done: router/attempt_guard.h is the one place at which an attempt, and a repeat, may begin, and says why it may not (cressrill_attempts_not_begun_total by reason, debug line 'attempt not begun'). Violations are counted and logged with id and by how much. Why a client's connection ended is one of six reasons, counted and logged at debug.

A call that fails for no peer's fault is counted by call and errno, and logged once of each; an exception ends the attempt or request that it comes from (500 to its client, its state told to the decisions) and is counted and logged; one out of the decisions ends the process, as their state is unknown then.

No decision is changed.

--- a/core/counters.h
+++ b/core/counters.h
@@ -53,6 +53,28 @@
                                                                  0.05, 0.1, 0.2, 0.5, 1, 1.5, 2, 3, 5, 10});
     }).Observe(seconds);
   }
+  void invariant_violated(std::string_view invariant) {
+    found(violated_, invariant, {}, [&]() -> prometheus::Counter& {
+      return violations_.Add({{"invariant", std::string(invariant)}});
+    }).Increment();
+  }
+  // Failures that were survived and are no peer's. call: of the kernel; error: its errno.
+  void call_failed(std::string_view call, int error) {
+    call_failures_.Add({{"call", std::string(call)}, {"errno", std::to_string(error)}}).Increment();
+  }
+  void task_failed() { task_failures_.Add({}).Increment(); }
+  // An attempt that was not begun as its first byte was about to leave.
+  void not_begun(std::string_view reason) {
+    found(not_begun_, reason, {}, [&]() -> prometheus::Counter& {
+      return begin_refusals_.Add({{"reason", std::string(reason)}});
+    }).Increment();
+  }
+  // A client's connection that this side ended.
+  void connection_ended(std::string_view reason) {
+    found(ended_, reason, {}, [&]() -> prometheus::Counter& {
+      return connection_ends_.Add({{"reason", std::string(reason)}});
+    }).Increment();
+  }
   void live(std::size_t sequences) { live_now_.Set(static_cast<double>(sequences)); }
   void let_go() { let_go_.Add({}).Increment(); }
   std::string text() const { return prometheus::TextSerializer().Serialize(registry_.Collect()); }
@@ -72,7 +94,20 @@
   prometheus::Gauge& live_now_ = live_.Add({});
   prometheus::Family<prometheus::Counter>& let_go_ = family(
       prometheus::BuildCounter(), "cressrill_let_go_total", "states that readers were told to let go of");
-  std::vector<Found<prometheus::Counter>> answered_, attempted_;
+  prometheus::Family<prometheus::Counter>& violations_ = family(
+      prometheus::BuildCounter(), "cressrill_invariant_violations_total", "rules found broken at run time");
+  prometheus::Family<prometheus::Counter>& call_failures_ =
+      family(prometheus::BuildCounter(), "cressrill_call_failures_total",
+             "calls of the kernel that failed for no peer's fault, and were survived");
+  prometheus::Family<prometheus::Counter>& task_failures_ =
+      family(prometheus::BuildCounter(), "cressrill_task_failures_total", "tasks that an exception ended");
+  prometheus::Family<prometheus::Counter>& begin_refusals_ =
+      family(prometheus::BuildCounter(), "cressrill_attempts_not_begun_total",
+             "attempts that were not begun as their first byte was about to leave");
+  prometheus::Family<prometheus::Counter>& connection_ends_ =
+      family(prometheus::BuildCounter(), "cressrill_connections_ended_total",
+             "clients' connections that were ended");
+  std::vector<Found<prometheus::Counter>> answered_, attempted_, violated_, not_begun_, ended_;
   std::vector<Found<prometheus::Histogram>> first_;
 };
 
--- a/http/server.cpp
+++ b/http/server.cpp
@@ -29,6 +29,12 @@
 }
 }  // namespace
 
+const char* word(ConnectionEnd end) {
+  static constexpr const char* words[] = {"by_client", "after_answer", "refused",
+                                          "idle",      "evicted",      "unanswered"};
+  return words[static_cast<int>(end)];
+}
+
 bool Answer::wrote(const io::Moved& moved) {
   if (moved.ok()) return true;
   broken_ = true;
@@ -256,29 +262,64 @@
 
 io::Nanos Server::due(io::Nanos span) const { return span > 0 ? loop_.now() + span : io::Loop::kNoTimer; }
 
-io::Task<> Server::serve(io::Socket socket) {
-  Session session{socket, Reader(socket, Kind::request, bounds_)};
+// An exception ends the request that it comes from, and no other.
+io::Task<Server::Handled> Server::handle(Request& request, Answer& answer) {
+  std::exception_ptr thrown;
+  try {
+    co_await handler_(request, answer);
+  } catch (...) {
+    thrown = std::current_exception();
+  }
+  if (thrown) {
+    loop_.task_failed(thrown);
+    if (!answer.begun() && !answer.broken()) {
+      answer.close_after();
+      co_await answer.whole(500, "", "");
+    } else {
+      answer.break_off();
+    }
+    co_return Handled::answered;
+  }
+  if (answer.begun()) co_return Handled::answered;
+  if (!answer.socket().is_open() || answer.broken()) co_return Handled::client_left;
+  answer.break_off();
+  co_return Handled::unanswered;
+}
+
+// The requests of one connection, until it ends.
+io::Task<ConnectionEnd> Server::converse(Session& session) {
+  io::Socket& socket = session.socket;
   Request request;
-  for (bool on = true; on && socket.is_open();) {
+  while (socket.is_open()) {
     const Fault fault = co_await read_request(session, request);
     if (session.ended) {
       co_await end_in_order(socket, session.evicted, StillRead::nothing);
-      break;
+      co_return ConnectionEnd::idle;
     }
-    if (fault == Fault::closed) break;
+    if (session.evicted && fault == Fault::closed) co_return ConnectionEnd::evicted;
+    if (fault == Fault::closed) co_return socket.is_open() ? ConnectionEnd::by_client : ConnectionEnd::idle;
     if (fault != Fault::none) {
       co_await refuse(socket, fault, session.evicted);
-      break;
+      co_return ConnectionEnd::refused;
     }
     request.came = std::min(loop_.now(), session.reader.received_at());
     // What has been read of further requests is answered, too: their client will not send them again.
     const auto ends = [&] { return stopping_ && !session.reader.leftover(); };
     Answer answer(socket, request.head.keep_alive && !ends());
-    co_await handler_(request, answer);
-    if (!answer.begun() && socket.is_open()) answer.break_off();
-    on = answer.keep_alive() && !ends();
-    if (!on && !answer.broken()) co_await end_in_order(socket, session.evicted, StillRead::nothing);
+    const Handled handled = co_await handle(request, answer);
+    if (handled == Handled::unanswered) co_return ConnectionEnd::unanswered;
+    if (handled == Handled::client_left || answer.broken()) co_return ConnectionEnd::by_client;
+    if (answer.keep_alive() && !ends()) continue;
+    co_await end_in_order(socket, session.evicted, StillRead::nothing);
+    co_return ConnectionEnd::after_answer;
   }
+  co_return ConnectionEnd::by_client;
+}
+
+io::Task<> Server::serve(io::Socket socket) {
+  Session session{socket, Reader(socket, Kind::request, bounds_)};
+  const ConnectionEnd end = co_await converse(session);
+  if (observe_end_) observe_end_(end);
   socket.close();
   evicted_ -= session.evicted;
   --open_;
--- a/http/server.h
+++ b/http/server.h
@@ -55,8 +55,20 @@
   io::Nanos idle{};     // between two requests
 };
 
+// Why a client's connection ended, as far as this side knows.
+enum class ConnectionEnd {
+  by_client,     // it ended or broke the connection, or asked for its end
+  after_answer,  // with an answer that ends it, or as the server stops
+  refused,       // behind a request that could not be read
+  idle,          // it rested too long, or as the server stops
+  evicted,       // it made way for another
+  unanswered,    // behind a request that was read and that nobody answered: a defect
+};
+const char* word(ConnectionEnd end);
+
 class Server {
  public:
+  using EndObserver = std::function<void(ConnectionEnd)>;
   using Handler = std::function<io::Task<>(Request&, Answer&)>;
   // What a request that cannot be read is answered with: status and body, sent before the connection closes.
   using Refusal = std::function<std::string(int status, Fault fault)>;
@@ -65,6 +77,7 @@
          std::size_t connections = 20'000);
   const io::Address& address() const { return listener_.address(); }
   void refuse_with(Refusal refusal) { refusal_ = std::move(refusal); }
+  void observe_ends(EndObserver observer) { observe_end_ = std::move(observer); }
   // Ends connections whose clients take longer. Set before the first comes.
   void set_timeouts(Timeouts timeouts);
   // Ends a connection whose client takes nothing of what is written to it for so long. Set before the first comes.
@@ -100,6 +113,9 @@
   io::Task<> room_for_one();
   void begin(io::Socket socket);
   io::Task<> serve(io::Socket socket);
+  io::Task<ConnectionEnd> converse(Session& session);
+  enum class Handled { answered, client_left, unanswered };
+  io::Task<Handled> handle(Request& request, Answer& answer);
   io::Task<Fault> read_request(Session& session, Request& request);
   io::Nanos due(io::Nanos span) const;
   io::Task<> refuse(io::Socket& socket, Fault fault, bool& evicted);
@@ -111,6 +127,7 @@
   io::Loop& loop_;
   Handler handler_;
   Refusal refusal_;
+  EndObserver observe_end_;
   Bounds bounds_;
   std::size_t connections_;
   std::size_t open_{};
--- a/io/socket.cpp
+++ b/io/socket.cpp
@@ -282,6 +282,7 @@
     const int error = n < 0 ? errno : 0;
     if (n == 0) co_return;
     if (error != 0 && error != EAGAIN) {
+      if (state_->watch.hung) co_return;
       if (!co_await again(Call::recv, error)) co_return;
       continue;
     }
--- a/router/host.cpp
+++ b/router/host.cpp
@@ -48,6 +48,7 @@
       counters_(counters),
       protocol_(protocol),
       manner_(protocol.manner()),
+      invariants_(log, counters),
       fleet_(loop, station, log),
       posted_(loop),
       policy_(make(station.deployment, seed, loop.now(), *this)),
@@ -73,17 +74,20 @@
   posted_.notify();
 }
 
+// An exception out of the decisions leaves them in a state that nobody knows: the process ends, and is started anew.
 io::Task<> Host::pump() {
   for (;;) {
     co_await posted_.wait();
     while (!inbox_.empty()) {
       std::swap(inbox_, telling_);
-      for (Input& input : telling_) tell(input);
+      for (Input& input : telling_) tell_or_end(input);
       telling_.clear();
     }
   }
 }
 
+void Host::tell_or_end(Input& input) noexcept { tell(input); }
+
 void Host::tell(Input& input) {
   const Nanos now = loop_.now();
   switch (input.what) {
@@ -179,7 +183,7 @@
   run.begin_by = limits.begin_by;
   if (!run.reads && ask->state_run >= 0 && ask->runs[static_cast<std::size_t>(ask->state_run)]->holds_state)
     run.takes = ask->state_run;
-  run.scope.spawn(attempt(ask, k));
+  run.scope.spawn(contained(ask, k, attempt(ask, k)));
   run.scope.spawn(out_of_time(ask, k));
 }
 
@@ -221,6 +225,9 @@
 }
 
 void Host::forget_sequence(int seq) {
+  const Ask& ask = *asks_[static_cast<std::size_t>(seq)];
+  invariants_.check(core::Invariant::one_final_answer, ask.final != Final::none || ask.client_left,
+                    ask.brief.id);
   asks_[static_cast<std::size_t>(seq)].reset();
   free_.push_back(seq);
   counters_.live(--live_);
@@ -290,6 +297,20 @@
   end(*ask, k, Outcome::connection_lost);
 }
 
+// An exception ends the attempt that it comes from, and no other.
+io::Task<> Host::contained(std::shared_ptr<Ask> ask, int k, io::Task<> work) {
+  std::exception_ptr thrown;
+  try {
+    co_await std::move(work);
+    co_return;
+  } catch (...) {
+    thrown = std::current_exception();
+  }
+  loop_.task_failed(thrown);
+  const Run& run = *ask->runs[static_cast<std::size_t>(k)];
+  end(*ask, k, run.written ? Outcome::connection_lost : Outcome::not_sent);
+}
+
 io::Task<> Host::attempt(std::shared_ptr<Ask> ask, int k) {
   Run& run = *ask->runs[static_cast<std::size_t>(k)];
   Link& link = fleet_.at(run.worker);
@@ -330,14 +351,44 @@
   }
 }
 
-// Asked where the first byte would leave: much may have happened since the decision, while the connection was being made.
-bool Host::may_begin(const Ask& ask, const Run& run) const {
-  // Rule 3, for a drain that was told meanwhile.
-  const io::Nanos now = loop_.fresh_now();
-  const io::Nanos not_ready_since = fleet_.at(run.worker).not_ready_since;
-  if (not_ready_since > run.sent && now - not_ready_since > station_.drain_grace / 2) return false;
-  if (run.ended || now >= run.deadline || now >= run.begin_by) return false;
-  return !ask.client_left && ask.final == Final::none;
+AttemptFacts Host::facts(const Ask& ask, const Run& run) const {
+  return {.now = loop_.fresh_now(),
+          .decided = run.sent,
+          .deadline = run.deadline,
+          .begin_by = run.begin_by,
+          .not_ready_since = fleet_.at(run.worker).not_ready_since,
+          .drain_grace = station_.drain_grace,
+          .client_left = ask.client_left_at,
+          .ended = run.ended,
+          .answered = ask.final != Final::none};
+}
+
+bool Host::may_begin(const Ask& ask, const Run& run) {
+  const BeginRefusal refusal = refuses_to_begin(facts(ask, run));
+  if (refusal == BeginRefusal::none) return true;
+  counters_.not_begun(word(refusal));
+  log_.debug(
+      "attempt not begun",
+      {{"sequence", ask.brief.id}, {"worker", fleet_.at(run.worker).listed.name}, {"reason", word(refusal)}});
+  return false;
+}
+
+// After the write: whether what the guard left for a hold-up was enough. told: the time that the worker was told.
+void Host::check_begun(const Ask& ask, const Run& run, io::Nanos told) {
+  using core::Invariant;
+  constexpr io::Nanos kAfterLeaving = 100 * io::kMs;
+  constexpr io::Nanos kBudgetSlack = 150 * io::kMs;
+  constexpr io::Nanos kWindowSlack =
+      50 * io::kMs + 120 * io::kMs;  // begin_by lies so long before the window's end
+  const AttemptFacts at = facts(ask, run);
+  const auto check = [&](Invariant invariant, io::Nanos passed_by) {
+    invariants_.check(invariant, passed_by <= 0, ask.brief.id, passed_by / io::kMs);
+  };
+  if (at.client_left > 0) check(Invariant::client_is_there, at.now - at.client_left - kAfterLeaving);
+  if (at.not_ready_since > at.decided)
+    check(Invariant::worker_takes_requests, at.now - at.not_ready_since - at.drain_grace);
+  if (at.begin_by != kNever) check(Invariant::repeat_in_window, at.now - at.begin_by - kWindowSlack);
+  check(Invariant::deadline_within_budget, told - (ask.abandon_at - at.now) - kBudgetSlack);
 }
 
 // What the router takes for its own answer at a client's deadline, as the module does.
@@ -358,8 +409,11 @@
 // In a coroutine of its own: what it builds is gone while the stream flows.
 io::Task<io::Moved> Host::send_to(Ask& ask, int k, http::Connection& connection) {
   RequestText text;
-  ask.talk->request(described(ask, k), text);
-  co_return co_await connection.socket.write_all(text.body.parts);
+  const Try attempt = described(ask, k);
+  ask.talk->request(attempt, text);
+  const io::Moved moved = co_await connection.socket.write_all(text.body.parts);
+  if (moved.bytes > 0) check_begun(ask, *ask.runs[static_cast<std::size_t>(k)], attempt.wait);
+  co_return moved;
 }
 
 void Host::answered(Ask& ask, int k, const http::Head& head, std::string body, const Report& report) {
@@ -532,7 +586,13 @@
     co_return;
   }
   auto& talk = std::get<std::unique_ptr<Talk>>(read);
-  co_await converse(take(std::move(brief), std::move(talk), request.came), answer);
+  const std::shared_ptr<Ask> ask = take(std::move(brief), std::move(talk), request.came);
+  try {
+    co_await converse(ask, answer);
+  } catch (...) {
+    leave(ask);  // nobody waits for it any more
+    throw;
+  }
 }
 
 std::shared_ptr<Host::Ask> Host::take(Brief brief, std::unique_ptr<Talk> talk, io::Nanos came) {
@@ -582,19 +642,28 @@
   client_left(ask, answer);
 }
 
+bool Host::leave(const std::shared_ptr<Ask>& ask) {
+  if (std::exchange(ask->client_left, true)) return false;
+  ask->client_left_at = loop_.now();
+  put({Input::What::client_left, ask, 0, {}, 0, {}, {}});
+  ask->drained.notify();
+  ask->news.notify();
+  return true;
+}
+
 void Host::client_left(const std::shared_ptr<Ask>& ask, http::Answer& answer) {
-  if (std::exchange(ask->client_left, true)) return;
+  if (!leave(ask)) return;
   counters_.answered(type_name(*ask), "left");
   log_.info(answer.stalled() ? "client stalled" : "client left",
             {{"sequence", ask->brief.id}, {"answer", word(ask->final)}});
-  put({Input::What::client_left, ask, 0, {}, 0, {}, {}});
-  ask->drained.notify();
-  ask->news.notify();
   answer.break_off();  // a write that waits ends with an error
 }
 
 io::Task<> Host::conclude(Ask& ask, http::Answer& answer, bool begun) {
+  constexpr io::Nanos kAnswerSlack = 500 * io::kMs;
   const bool late = loop_.now() + station_.deployment.tick * 4 >= ask.abandon_at;
+  const io::Nanos passed_by = begun || ask.bound >= 0 ? 0 : loop_.fresh_now() - ask.abandon_at - kAnswerSlack;
+  invariants_.check(core::Invariant::answer_in_time, passed_by <= 0, ask.brief.id, passed_by / io::kMs);
   const Closing closing = ask.talk->close(ask.final, late, ask.retry_after);
   if (!begun && !closing.streams) {
     if (closing.reply.refuses) answer.close_after();
--- a/router/host.h
+++ b/router/host.h
@@ -8,7 +8,9 @@
 #include <string>
 #include <vector>
 
+#include "attempt_guard.h"
 #include "core/counters.h"
+#include "core/invariants.h"
 #include "core/log.h"
 #include "fleet.h"
 #include "http/server.h"
@@ -35,6 +37,8 @@
   std::size_t live() const { return live_; }
   // Whether a worker is being told to let go of a state: nobody else will, should this process end before.
   bool releasing() const { return !releases_.empty(); }
+  core::Invariants& invariants() { return invariants_; }
+  const core::Invariants& invariants() const { return invariants_; }
   // For each worker, what the decisions believe to be out there beside what is out on sockets. The two are the same
   // whenever no input waits to be told.
   struct Load {
@@ -82,6 +86,7 @@
     std::string sending;  // and those that are on their way to it
     Final final{Final::none};
     bool client_left{};
+    io::Nanos client_left_at{};
     Nanos retry_after{};
     bool engine_refused{};  // with an answer that is the client's
     int bound{-1};          // the attempt whose stream the client gets
@@ -111,10 +116,12 @@
   void put(Input input);
   io::Task<> pump();
   void tell(Input& input);
+  void tell_or_end(Input& input) noexcept;
   void tell_ended(Ask& ask, const Input& input);
   std::shared_ptr<Ask> take(Brief brief, std::unique_ptr<Talk> talk, io::Nanos came);
   io::Task<> converse(std::shared_ptr<Ask> ask, http::Answer& answer);
   io::Task<> watch_client(std::shared_ptr<Ask> ask, http::Answer& answer);
+  bool leave(const std::shared_ptr<Ask>& ask);
   void client_left(const std::shared_ptr<Ask>& ask, http::Answer& answer);
   io::Task<> conclude(Ask& ask, http::Answer& answer, bool begun);
   void settle(Ask& ask, Final final);
@@ -122,7 +129,10 @@
 
   void end(Ask& ask, int k, Outcome outcome, double kept = 0, const Report& report = {});
   io::Task<> attempt(std::shared_ptr<Ask> ask, int k);
-  bool may_begin(const Ask& ask, const Run& run) const;
+  io::Task<> contained(std::shared_ptr<Ask> ask, int k, io::Task<> work);
+  AttemptFacts facts(const Ask& ask, const Run& run) const;
+  bool may_begin(const Ask& ask, const Run& run);
+  void check_begun(const Ask& ask, const Run& run, io::Nanos told);
   io::Nanos answer_margin() const;
   Try described(const Ask& ask, int k) const;
   io::Task<io::Moved> send_to(Ask& ask, int k, http::Connection& connection);
@@ -144,6 +154,7 @@
   core::Counters& counters_;
   Protocol& protocol_;
   const Protocol::Manner manner_;
+  core::Invariants invariants_;
   Fleet fleet_;
   std::vector<std::shared_ptr<Ask>> asks_;  // by small index
   std::vector<int> free_;
