A randomized fault soak on real processes, judged by what clients and workers recorded; requests age in the kernel

A request's arrival is asked of the kernel (TCP_INFO) once, as it is whole: the scheduler hears of it late where the process was held up or the connection stood in the listener's queue, and a deadline that is passed on must be what the client has left.

--- a/http/message.cpp
+++ b/http/message.cpp
@@ -157,6 +157,7 @@
   std::size_t size{};
   bool filled{};
   io::Nanos received_at{};
+  bool asked_kernel{true};
 
   void fresh(Head* head) {
     target.head = head, target.pieces.clear(), handed = false;
@@ -198,6 +199,7 @@
     if (got.bytes > 0) {
       size += got.bytes;
       received_at = socket.arrived();
+      asked_kernel = false;
       filled = size == room;
       co_return Fault::none;
     }
@@ -278,7 +280,11 @@
   return !parts_->sink->done() || (!parts_->handed && !parts_->target.pieces.empty());
 }
 bool Reader::leftover() const { return parts_->used < parts_->size; }
-io::Nanos Reader::received_at() const { return parts_->received_at; }
+io::Nanos Reader::received_at() const {
+  Parts& p = *parts_;
+  if (!std::exchange(p.asked_kernel, true)) p.received_at = std::min(p.received_at, p.socket.last_received());
+  return p.received_at;
+}
 bool Reader::started() const { return parts_->sink->started() || leftover(); }
 
 std::string request_head(std::string_view method, std::string_view target, std::string_view host,
--- a/io/loop.h
+++ b/io/loop.h
@@ -66,6 +66,7 @@
   Loop& operator=(const Loop&) = delete;
 
   Nanos now() const { return now_; }
+  bool is_handed() const { return time_ == Time::handed; }
   // Reads the clock anew: now() is of the beginning of this round, and a limit that binds at a call counts from the call.
   Nanos fresh_now() {
     read_clock();
--- a/io/socket.cpp
+++ b/io/socket.cpp
@@ -306,6 +306,19 @@
   return seen >= 0 || classify(Call::recv, errno) != Failure::would_block;
 }
 
+Nanos Socket::last_received() const {
+  if (!state_) return 0;
+  Loop& loop = state_->loop;
+  const Nanos told = state_->watch.arrived;
+  if (loop.is_handed()) return told;
+  tcp_info info{};
+  socklen_t size = sizeof info;
+  loop.called(Call::getsockopt);
+  if (getsockopt(state_->fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return told;
+  // Of whole milliseconds, and not yet counted where nothing has come.
+  return std::min(told, loop.now() - static_cast<Nanos>(info.tcpi_last_data_recv) * kMs);
+}
+
 bool Socket::has_unread() const { return state_ && look() > 0; }
 
 ssize_t Socket::look() const {
--- a/io/socket.h
+++ b/io/socket.h
@@ -63,8 +63,11 @@
   bool spoiled() const;
   // Whether bytes have come that nobody has read. Closing now would reset the connection.
   bool has_unread() const;
-  // When the kernel last told that something came.
+  // When the scheduler last heard that something came.
   Nanos arrived() const { return state_ ? state_->watch.arrived : 0; }
+  // When the last bytes came, as far as the kernel tells: before the scheduler heard of them, where the process was held up
+  // or the connection stood in its listener's queue.
+  Nanos last_received() const;
 
  private:
   friend Task<Moved> connect(Loop&, Address, Socket&);
--- /dev/null
+++ b/programs/soak.cpp
@@ -0,0 +1,107 @@
+// cressrill-soak: a randomized fault soak of the router on real processes, and the stand-ins that it starts.
+#include <unistd.h>
+
+#include <filesystem>
+
+#include "command_line.h"
+#include "io/signals.h"
+#include "rig/soak/conductor.h"
+#include "rig/soak/proxy.h"
+#include "rig/soak/worker.h"
+
+using namespace cressrill;
+namespace soak = rig::soak;
+
+namespace {
+
+io::Address address_of(const std::string& text) {
+  const auto address = io::parse_address(text);
+  if (!address) throw std::invalid_argument("'" + text + "' is not an address and port");
+  return *address;
+}
+
+int run_worker(const soak::WorkerOptions& options, const std::string& record) {
+  io::Loop loop;
+  rig::Recorder recorder(loop, record);
+  soak::SoakWorker worker(loop, options, recorder);
+  io::run_until_told(loop);
+  return kFine;
+}
+
+int run_proxy(const std::string& listen, const std::string& target, std::uint64_t seed) {
+  io::Loop loop;
+  soak::Proxy proxy(loop, address_of(listen), address_of(target), seed);
+  io::run_until_told(loop);
+  return kFine;
+}
+
+int run(soak::SoakOptions options, std::uint64_t first_seed, int seeds, int seconds) {
+  int failed = 0;
+  for (int i = 0; i < seeds; ++i) {
+    options.seed = first_seed + static_cast<std::uint64_t>(i);
+    options.length = seconds * io::kSecond;
+    const std::string parent = options.folder;
+    options.folder = parent + "/seed-" + std::to_string(options.seed);
+    std::filesystem::remove_all(options.folder);
+    const soak::SoakResult result = soak::run_soak(options);
+    options.folder = parent;
+    const soak::Judgement& j = result.judgement;
+    const bool fine = j.breaches.empty() && result.faults_injected > 0 && j.served > 0;
+    failed += !fine;
+    std::cout << "seed " << options.seed << ": " << (fine ? "kept" : "BROKEN") << ", " << j.requests
+              << " requests, " << j.served << " served, " << j.refused << " refused, " << j.failed
+              << " failed, " << j.left << " left, " << j.excused << " excused; " << result.troubles
+              << " troubles, " << result.faults_injected << " calls failed; at most "
+              << result.most_descriptors << " descriptors, " << result.most_memory_kb << " KB\n";
+    for (const std::string& breach : j.breaches) std::cout << "  " << breach << '\n';
+    std::cout.flush();
+  }
+  std::cout << seeds - failed << " passed, " << failed << " failed\n";
+  return failed == 0 ? kFine : kFailed;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app{"Randomized fault soak of the router, on real processes and loopback.", "cressrill-soak"};
+  app.require_subcommand(1);
+  soak::SoakOptions options;
+  std::uint64_t seed = 1;
+  int seeds = 1, seconds = 20;
+  const std::string here = std::filesystem::read_symlink("/proc/self/exe").parent_path();
+  options.soak_program = here + "/cressrill-soak";
+  options.router_program = here + "/cressrill-router";
+  options.shim = here + "/libcressrill_fault_shim.so";
+  options.folder = "found/soak";
+  auto* all = app.add_subcommand("run", "play seeds, one after another, and judge each");
+  all->add_option("--seed", seed, "the first");
+  all->add_option("--seeds", seeds, "how many")->check(CLI::Range(1, 10'000));
+  all->add_option("--seconds", seconds, "for which troubles begin, each")->check(CLI::Range(1, 3600));
+  all->add_option("--routers", options.routers, "processes")->check(CLI::Range(1, 16));
+  all->add_option("--workers", options.workers, "processes, each with a proxy")->check(CLI::Range(2, 24));
+  all->add_option("--folder", options.folder, "for records and logs");
+  all->add_option("--router-program", options.router_program, "another build of the router");
+  soak::WorkerOptions worker;
+  std::string listen, target, record;
+  bool prefill = false, decode = false;
+  auto* one_worker = app.add_subcommand("worker", "a stand-in for a worker");
+  one_worker->add_option("--name", worker.name)->required();
+  one_worker->add_option("--listen", listen)->required();
+  one_worker->add_option("--record", record)->required();
+  one_worker->add_option("--seed", worker.seed)->required();
+  one_worker->add_flag("--prefill", prefill);
+  one_worker->add_flag("--decode", decode);
+  auto* proxy = app.add_subcommand("proxy", "a proxy that breaks connections");
+  proxy->add_option("--listen", listen)->required();
+  proxy->add_option("--target", target)->required();
+  proxy->add_option("--seed", seed)->required();
+  if (const auto code = read_command_line(app, argc, argv)) return *code;
+  return guarded("cressrill-soak", [&] {
+    if (one_worker->parsed()) {
+      worker.reads = prefill, worker.address = address_of(listen);
+      return run_worker(worker, record);
+    }
+    if (proxy->parsed()) return run_proxy(listen, target, seed);
+    return run(options, seed, seeds, seconds);
+  });
+}
--- /dev/null
+++ b/rig/soak/checker.cpp
@@ -0,0 +1,213 @@
+#include "checker.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <map>
+#include <optional>
+
+namespace cressrill::rig::soak {
+
+namespace {
+
+using io::kMs;
+using io::kSecond;
+using io::Nanos;
+
+constexpr Nanos kNetwork = 30 * kMs;  // between processes of a busy machine
+
+struct Post {
+  Nanos at{};
+  Nanos came{};
+  Nanos ended{};
+  std::string worker;
+  bool reads{};
+  bool turned_away{};
+  std::int64_t budget_ms{};
+};
+
+struct Request {
+  Nanos sent{};
+  Nanos deadline{};
+  Nanos left{};
+  Nanos answered{};
+  int status{};
+  std::string kind;
+  std::string router;
+  std::string end;  // how it ended where there was no answer
+  std::vector<Post> posts;
+  Nanos held{};
+  Nanos released{};
+  std::map<int, Nanos> events_written, events_read;
+};
+
+struct Span {
+  Nanos from{};
+  Nanos to{};
+};
+
+class Checker {
+ public:
+  Checker(std::vector<Recorder::Line> lines, const CheckerLimits& limits)
+      : lines_(std::move(lines)), limits_(limits) {}
+
+  Judgement run() {
+    std::ranges::stable_sort(lines_, {}, [](const Recorder::Line& l) { return l.at("t").get<Nanos>(); });
+    for (const Recorder::Line& line : lines_) take(line);
+    for (const auto& [id, request] : requests_) judge(id, request);
+    return std::move(out_);
+  }
+
+ private:
+  void take(const Recorder::Line& line) {
+    const auto event = line.at("e").get<std::string>();
+    const auto at = line.at("t").get<Nanos>();
+    last_ = at;
+    if (event == "stopped") stops_[line.at("process")].push_back({at, at + line.at("for").get<Nanos>()});
+    if (event == "killed") kills_[line.at("process")].push_back(at);
+    if (event == "draining") drains_[line.at("worker")] = at;
+    if (event == "discovery_up") discovery_up_ = at;
+    if (event == "breach") breach(line.at("what"));
+    if (event == "unanswered_disturber" && !killed_after(line.at("router"), at - 4 * kSecond))
+      breach("a client that sent what cannot be read got neither an error nor a close within 3.5 s");
+    if (const auto id = line.find("id"); id != line.end() && !id->get<std::string>().empty())
+      take_of(requests_[id->get<std::string>()], event, at, line);
+  }
+
+  void take_of(Request& r, const std::string& event, Nanos at, const Recorder::Line& line) {
+    if (event == "sent") {
+      r.sent = at, r.deadline = at + line.at("budget_ms").get<std::int64_t>() * kMs;
+      r.kind = line.at("kind"), r.router = line.at("router");
+    }
+    if (event == "crossed") r.sent = 0;
+    if (event == "left") r.left = at;
+    if (event == "answer") r.answered = at, r.status = line.at("status");
+    if (event == "no_answer") r.end = line.at("how");
+    if (event == "post")
+      r.posts.push_back(
+          {at, line.at("came"), 0, line.at("worker"), line.at("reads"), false, line.at("budget_ms")});
+    if (event == "post_end" || event == "turned_away") end_post(r, event, at, line.at("worker"));
+    if (event == "held") r.held = at, r.released = 0;
+    if (event == "fetched" || event == "released") r.released = at;
+    if (event == "event") r.events_written[line.at("index")] = at;
+    if (event == "event_read") r.events_read[line.at("index")] = at;
+  }
+
+  static void end_post(Request& r, const std::string& event, Nanos at, const std::string& worker) {
+    for (Post& p : r.posts) {
+      if (p.worker != worker || p.ended != 0) continue;
+      if (event == "turned_away")
+        p.turned_away = true;
+      else
+        p.ended = at;
+      return;
+    }
+  }
+
+  void breach(std::string what) { out_.breaches.push_back(std::move(what)); }
+
+  bool stopped_around(const std::string& process, Nanos at) const {
+    const auto spans = stops_.find(process);
+    if (spans == stops_.end()) return false;
+    return std::ranges::any_of(
+        spans->second, [at](const Span& s) { return at >= s.from - 50 * kMs && at <= s.to + 300 * kMs; });
+  }
+  bool killed_after(const std::string& process, Nanos at) const {
+    const auto kills = kills_.find(process);
+    return kills != kills_.end() && std::ranges::any_of(kills->second, [at](Nanos k) { return k >= at; });
+  }
+
+  void judge(const std::string& id, const Request& r) {
+    if (r.sent == 0) return;
+    ++out_.requests;
+    if (killed_after(r.router, r.sent) && r.answered == 0) {
+      ++out_.excused;
+    } else {
+      judge_answer(id, r);
+    }
+    for (const Post& p : r.posts) judge_post(id, r, p);
+    judge_repeats(id, r);
+    judge_held(id, r);
+    for (const auto& [index, written] : r.events_written) {
+      const auto read = r.events_read.find(index);
+      if (read == r.events_read.end() || stopped_around(r.router, written)) continue;
+      if (read->second - written > 300 * kMs + kNetwork)
+        breach(fmt::format("{}: event {} held back for {} ms", id, index, (read->second - written) / kMs));
+    }
+  }
+
+  void judge_answer(const std::string& id, const Request& r) {
+    if (r.left > 0) {
+      ++out_.left;
+      return;
+    }
+    if (r.answered == 0) {
+      if (r.sent + 6 * kSecond > last_ && r.end.empty()) return;  // the soak ended first
+      breach(fmt::format("{}: lost at {} after {} ms ({})", id, r.router, (last_ - r.sent) / kMs, r.end));
+      return;
+    }
+    const bool served = r.status == 200;
+    ++(served ? out_.served : r.status == 503 || r.status == 429 ? out_.refused : out_.failed);
+    if (!served && r.answered > r.deadline + 500 * kMs + kNetwork)
+      breach(fmt::format("{}: answered {} ms after its deadline", id, (r.answered - r.deadline) / kMs));
+  }
+
+  void judge_post(const std::string& id, const Request& r, const Post& p) {
+    if (stopped_around(p.worker, p.at)) return;
+    if (r.left > 0 && p.came > r.left + 100 * kMs + kNetwork)
+      breach(fmt::format("{}: attempt at {} began {} ms after its client left", id, p.worker,
+                         (p.came - r.left) / kMs));
+    const Nanos budget = p.budget_ms * kMs, left = r.deadline - p.came;
+    if (budget > std::max<Nanos>(left, 0) + 150 * kMs + kNetwork)
+      breach(fmt::format("{}: {} was told {} ms where {} were left", id, p.worker, p.budget_ms, left / kMs));
+    const auto drain = drains_.find(p.worker);
+    if (drain == drains_.end()) return;
+    const Nanos told = std::max(drain->second, discovery_up_) + 6 * kSecond;
+    if (p.came > told + limits_.drain_grace + 50 * kMs + kNetwork)
+      breach(
+          fmt::format("{}: sent to {} {} ms after its drain was told", id, p.worker, (p.came - told) / kMs));
+  }
+
+  // Requests with an effect: of those writes that may have run, no second one, or within the window of the first.
+  void judge_repeats(const std::string& id, const Request& r) {
+    if (r.kind == "chat") return;
+    std::optional<Nanos> first;
+    for (const Post& p : r.posts) {
+      if (p.reads) continue;
+      if (first && r.kind == "pay") breach(fmt::format("{}: written twice", id));
+      if (first && r.kind == "order" && p.came - *first > limits_.window + 50 * kMs + kNetwork)
+        breach(fmt::format("{}: repeated {} ms after the first", id, (p.came - *first) / kMs));
+      if (!first && !p.turned_away) first = p.came;
+    }
+  }
+
+  void judge_held(const std::string& id, const Request& r) {
+    if (r.held == 0 || killed_after(r.router, r.held)) return;
+    Nanos from = r.held;
+    for (const Post& p : r.posts) {
+      if (stopped_around(p.worker, p.at) || killed_after(p.worker, p.at)) return;
+      from = std::max(from, p.ended == 0 ? last_ : p.ended);
+    }
+    const Nanos until = r.released == 0 ? last_ : r.released;
+    if (until - from > limits_.held_for + 300 * kMs + kNetwork)
+      breach(fmt::format("{}: its state was held for {} ms", id, (until - from) / kMs));
+  }
+
+  std::vector<Recorder::Line> lines_;
+  CheckerLimits limits_;
+  Judgement out_;
+  std::map<std::string, Request> requests_;
+  std::map<std::string, std::vector<Span>> stops_;
+  std::map<std::string, std::vector<Nanos>> kills_;
+  std::map<std::string, Nanos> drains_;
+  Nanos discovery_up_{};
+  Nanos last_{};
+};
+
+}  // namespace
+
+Judgement check(std::vector<Recorder::Line> lines, const CheckerLimits& limits) {
+  return Checker(std::move(lines), limits).run();
+}
+
+}  // namespace cressrill::rig::soak
--- /dev/null
+++ b/rig/soak/clients.cpp
@@ -0,0 +1,132 @@
+#include "clients.h"
+
+#include <fmt/format.h>
+
+namespace cressrill::rig::soak {
+
+using io::kMs;
+
+Clients::Clients(io::Loop& loop, Recorder& record, std::uint64_t seed,
+                 std::function<std::optional<Door>()> door)
+    : loop_(loop), record_(record), random_(seed), door_(std::move(door)), scope_(loop) {}
+
+void Clients::start(int clients) {
+  for (int i = 0; i < clients; ++i) scope_.spawn(client());
+}
+
+io::Task<> Clients::client() {
+  ++running_;
+  while (!stopping_) {
+    co_await visit();
+    co_await loop_.sleep_for(between(5, 120) * kMs);
+  }
+  --running_;
+}
+
+// One connection, with some requests on it.
+io::Task<> Clients::visit() {
+  const std::optional<Door> door = door_();
+  if (!door) co_return;
+  io::Socket socket;
+  const auto made =
+      co_await io::within(loop_, loop_.now() + 1000 * kMs, io::connect(loop_, door->address, socket));
+  if (!made || !made->ok()) co_return;  // refused: its front deals it out again
+  if (between(0, 19) == 0) {
+    co_await disturb(socket, *door);
+    co_return;
+  }
+  http::Reader reader(socket, http::Kind::response);
+  const int requests = between(1, 4);
+  for (int i = 0; i < requests && !stopping_; ++i) {
+    if (i > 0 && between(0, 4) == 0) co_await loop_.sleep_for(between(500, 6000) * kMs);  // rests
+    if (!co_await ask(socket, reader, *door, i == 0)) co_return;
+  }
+}
+
+std::string Clients::request(const std::string& id, const std::string& kind, int budget_ms) {
+  const std::string body = R"({"model":"chat","stream":true,"messages":[{"role":"user","content":")" +
+                           std::string(static_cast<std::size_t>(between(100, 6000)), 'w') + "\"}]}";
+  return fmt::format(
+      "POST /v1/chat/completions HTTP/1.1\r\nHost: service.internal\r\nX-Call-Id: {}\r\nX-Call-Class: {}\r\n"
+      "X-Caller: acme\r\nX-Route-Hash: {:x}\r\nX-Budget-Ms: {}\r\n"
+      "X-Call-Info: prompt_len={},prefix_len=0,max_out=50\r\nContent-Length: {}\r\n\r\n{}",
+      id, kind, random_() % 50 + 1, budget_ms, body.size() / 4, body.size(), body);
+}
+
+// Whether the connection can be used again.
+io::Task<bool> Clients::ask(io::Socket& socket, http::Reader& reader, const Door& door, bool first) {
+  static constexpr const char* kKinds[] = {"chat", "chat", "order", "pay"};
+  const std::string id = fmt::format("c{}", ++next_id_), kind = kKinds[between(0, 3)];
+  const int budget_ms = between(400, 3000);
+  const std::string text = request(id, kind, budget_ms);
+  if (!co_await write(socket, text, between(0, 19) == 0)) {
+    co_return false;  // the router ended the connection first: it is sent elsewhere, under a new id
+  }
+  record_.note(
+      "sent",
+      {{"id", id}, {"kind", kind}, {"budget_ms", budget_ms}, {"router", door.router}, {"first", first}});
+  const bool leaves = between(0, 11) == 0;
+  const io::Nanos until = loop_.now() + (leaves ? between(1, 400) * kMs : 9 * io::kSecond);
+  const auto whole = co_await io::within(loop_, until, read_answer(reader, id, first));
+  if (whole) co_return *whole;
+  if (leaves) {
+    socket.close();
+    record_.note("left", {{"id", id}});
+  } else {
+    record_.note("no_answer", {{"id", id}, {"how", "nothing came"}});
+  }
+  co_return false;
+}
+
+io::Task<bool> Clients::write(io::Socket& socket, std::string_view text, bool slowly) {
+  if (!slowly) co_return (co_await socket.write_all(text)).ok();
+  while (!text.empty()) {
+    const std::size_t some = std::min(text.size(), text.size() / 4 + 30);
+    if (!(co_await socket.write_all(text.substr(0, some))).ok()) co_return false;
+    text.remove_prefix(some);
+    co_await loop_.sleep_for(between(20, 150) * kMs);
+  }
+  co_return true;
+}
+
+// Whether it came to its end, and more may be asked.
+io::Task<bool> Clients::read_answer(http::Reader& reader, const std::string& id, bool first) {
+  http::Head head;
+  http::Fault fault = co_await reader.head(head);
+  if (fault != http::Fault::none) {
+    // On a kept connection the router's end may have crossed the request, which it has not read then.
+    const bool may_have_crossed = !first && fault == http::Fault::closed;
+    record_.note(may_have_crossed ? "crossed" : "no_answer", {{"id", id}, {"how", http::word(fault)}});
+    co_return false;
+  }
+  const int status = head.status;
+  if (status == 200) record_.note("answer", {{"id", id}, {"status", status}});
+  http::Events events;
+  int index = 0;
+  while (reader.more()) {
+    std::span<const std::string_view> pieces;
+    fault = co_await reader.pieces(pieces);
+    for (const std::string_view piece : pieces) {
+      events.feed(piece);
+      while (events.next()) record_.note("event_read", {{"id", id}, {"index", index++}});
+    }
+    if (fault != http::Fault::none) break;
+  }
+  if (status != 200) record_.note("answer", {{"id", id}, {"status", status}});
+  co_return fault == http::Fault::none&& head.keep_alive;
+}
+
+// Owed an error or a close within 3 s.
+io::Task<> Clients::disturb(io::Socket& socket, const Door& door) {
+  static constexpr std::string_view kTexts[] = {
+      "\x16\x03\x01 hello\r\n\r\n", "POST /v1/chat/completions HTTP/1.1\r\nContent-Length: -4\r\n\r\nbody",
+      "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nX-Call-", "GET /nothing HTTP/1.1\r\nHost: h\r\n\r\n"};
+  const io::Nanos began = loop_.now();
+  co_await socket.write_all(kTexts[static_cast<std::size_t>(between(0, 3))]);
+  http::Reader reader(socket, http::Kind::response);
+  http::Head head;
+  const auto fault = co_await io::within(loop_, began + 3500 * kMs, reader.head(head));
+  if (!fault) record_.note("unanswered_disturber", {{"router", door.router}});
+}
+
+}  // namespace cressrill::rig::soak
--- /dev/null
+++ b/rig/soak/clients.h
@@ -0,0 +1,50 @@
+// Clients of a soak: some keep their connections, some leave early, write slowly, rest, or send what cannot be read. What
+// each sent and got is recorded.
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <random>
+#include <string>
+
+#include "http/message.h"
+#include "rig/record.h"
+
+namespace cressrill::rig::soak {
+
+// A router that takes new connections, as a front would deal them out.
+struct Door {
+  std::string router;
+  io::Address address;
+};
+
+class Clients {
+ public:
+  // door: one of those that are open now; none where none is.
+  Clients(io::Loop& loop, Recorder& record, std::uint64_t seed, std::function<std::optional<Door>()> door);
+  // Runs so many side by side until told to stop; then those that are under way come to their ends.
+  void start(int clients);
+  void stop() { stopping_ = true; }
+  int running() const { return running_; }
+
+ private:
+  io::Task<> client();
+  io::Task<> visit();
+  io::Task<bool> ask(io::Socket& socket, http::Reader& reader, const Door& door, bool first);
+  io::Task<bool> write(io::Socket& socket, std::string_view text, bool slowly);
+  io::Task<bool> read_answer(http::Reader& reader, const std::string& id, bool first);
+  io::Task<> disturb(io::Socket& socket, const Door& door);
+  std::string request(const std::string& id, const std::string& kind, int budget_ms);
+  int between(int from, int to) { return std::uniform_int_distribution<int>(from, to)(random_); }
+
+  io::Loop& loop_;
+  Recorder& record_;
+  std::mt19937_64 random_;
+  std::function<std::optional<Door>()> door_;
+  std::uint64_t next_id_{};
+  bool stopping_{};
+  int running_{};
+  io::Scope scope_;
+};
+
+}  // namespace cressrill::rig::soak
--- /dev/null
+++ b/rig/soak/worker.cpp
@@ -0,0 +1,93 @@
+#include "worker.h"
+
+#include <fmt/format.h>
+
+namespace cressrill::rig::soak {
+
+SoakWorker::SoakWorker(io::Loop& loop, const WorkerOptions& options, Recorder& record)
+    : loop_(loop),
+      options_(options),
+      record_(record),
+      random_(options.seed),
+      server_(loop, options.address, [this](http::Request& r, http::Answer& a) { return serve(r, a); }) {
+  note("worker_up", "");
+}
+
+void SoakWorker::note(const char* event, const std::string& id, Recorder::Line more) {
+  Recorder::Line line{{"worker", options_.name}, {"id", id}};
+  line.update(more);
+  record_.note(event, std::move(line));
+}
+
+io::Task<> SoakWorker::serve(http::Request& request, http::Answer& answer) {
+  const std::string target(request.head.target);
+  if (request.head.method == "DELETE") {
+    note("released", target.substr(target.rfind('/') + 1));
+    co_await answer.whole(204, "", "");
+    co_return;
+  }
+  const std::string id(request.head.field("x-call-id").value_or("none"));
+  const std::string budget(request.head.field("x-budget-ms").value_or("0"));
+  Recorder::Line facts{{"reads", options_.reads}, {"budget_ms", std::stoll(budget)}, {"came", request.came}};
+  note("post", id, std::move(facts));
+  co_await call(id, answer);
+  note("post_end", id);
+}
+
+io::Task<> SoakWorker::call(const std::string& id, http::Answer& answer) {
+  const bool failed = co_await fail(id, answer);
+  if (failed) co_return;
+  if (options_.reads)
+    co_await read(id, answer);
+  else
+    co_await write(id, answer);
+}
+
+// Whether it failed this request.
+io::Task<bool> SoakWorker::fail(const std::string& id, http::Answer& answer) {
+  const double drawn = chance() / options_.failing;
+  if (drawn >= 1) co_return false;
+  const io::Nanos delay = between(0, 40);
+  co_await loop_.sleep_for(delay);
+  if (drawn < 0.4) {
+    note("turned_away", id);
+    co_await answer.whole(503, "X-Rejected: 1\r\n", "");
+  } else if (drawn < 0.6) {
+    co_await answer.whole(500, "", "");
+  } else if (drawn < 0.8) {
+    answer.break_off();
+  } else {
+    co_await loop_.sleep_for(4 * io::kSecond);
+    answer.break_off();
+  }
+  co_return true;
+}
+
+io::Task<> SoakWorker::read(const std::string& id, http::Answer& answer) {
+  const io::Nanos work = between(5, 40);
+  co_await loop_.sleep_for(work);
+  if (answer.socket().peer_ended()) co_return;  // given up: a read stops at a cancel
+  note("held", id);
+  co_await answer.whole(202, "X-Load-Report: concurrent=1,x0=0.2\r\n", "{\"cached_tokens\":128}");
+}
+
+io::Task<> SoakWorker::write(const std::string& id, http::Answer& answer) {
+  const io::Nanos work = between(5, 60);
+  co_await loop_.sleep_for(work);
+  if (answer.socket().peer_ended()) co_return;
+  note("fetched", id);
+  if (!co_await answer.begin(200, "content-type: text/event-stream\r\n")) co_return;
+  const int events = static_cast<int>(between(2, 12) / io::kMs);
+  for (int i = 0; i < events; ++i) {
+    Recorder::Line index{{"index", i}};
+    note("event", id, std::move(index));
+    const std::string event =
+        fmt::format("data: {{\"choices\":[{{\"index\":0,\"delta\":{{\"content\":\"t{}\"}}}}]}}\n\n", i);
+    if (!co_await answer.part(event)) co_return;
+    const io::Nanos step = between(5, 40);
+    co_await loop_.sleep_for(step);
+  }
+  co_await answer.end("data: [DONE]\n\n");
+}
+
+}  // namespace cressrill::rig::soak
