--- a/http/server.cpp
+++ b/http/server.cpp
@@ -79,8 +79,8 @@
       closed_(loop),
       listener_(loop, address),
       sessions_(loop),
-      acceptor_(loop),
-      keeper_(loop) {
+      acceptor_(loop, io::Scope::Failure::ends_program),
+      keeper_(loop, io::Scope::Failure::ends_program) {
   acceptor_.spawn(accept());
 }
 
--- a/io/loop.cpp
+++ b/io/loop.cpp
@@ -176,11 +176,16 @@
 void Scope::spawn(Task<> task) {
   auto& promise = root(std::move(task)).handle.promise();
   roots_.push_back(promise);
-  promise.loop = &loop_;
+  promise.scope = this;
   promise.start.handle = std::coroutine_handle<Root::promise_type>::from_promise(promise);
   loop_.make_ready(promise.start);
 }
 
+void Scope::failed(std::exception_ptr thrown) noexcept {
+  loop_.task_failed(std::move(thrown));
+  if (failure_ == Failure::ends_program) std::terminate();
+}
+
 void Scope::cancel() {
   while (!roots_.empty()) {
     auto& promise = roots_.front();
--- a/io/loop.h
+++ b/io/loop.h
@@ -158,13 +158,16 @@
 // inside one of them.
 class Scope {
  public:
-  explicit Scope(Loop& loop) : loop_(loop) {}
+  // What an exception that leaves one of its tasks ends: that task alone, or the program, where nothing works without it.
+  enum class Failure { ends_task, ends_program };
+
+  explicit Scope(Loop& loop, Failure failure = Failure::ends_task) : loop_(loop), failure_(failure) {}
   ~Scope() { cancel(); }
   Scope(const Scope&) = delete;
   Scope& operator=(const Scope&) = delete;
 
-  // Starts after those that are ready now. An exception that leaves the task ends that task alone and goes to
-  // Loop::task_failed().
+  // Starts after those that are ready now. An exception that leaves the task goes to Loop::task_failed(), and further
+  // as the scope was told.
   void spawn(Task<> task);
   void cancel();
   bool empty() const { return roots_.empty(); }
@@ -173,7 +176,7 @@
   struct Root {
     struct promise_type : Framed, intrusive::list_base_hook<AutoUnlink> {
       Waiter start;
-      Loop* loop{};
+      Scope* scope{};
       Root get_return_object() { return {std::coroutine_handle<promise_type>::from_promise(*this)}; }
       std::suspend_always initial_suspend() noexcept { return {}; }
       struct End {
@@ -183,13 +186,15 @@
       };
       End final_suspend() noexcept { return {}; }
       void return_void() noexcept {}
-      void unhandled_exception() noexcept { loop->task_failed(std::current_exception()); }
+      void unhandled_exception() noexcept { scope->failed(std::current_exception()); }
     };
     std::coroutine_handle<promise_type> handle;
   };
   static Root root(Task<> task);
+  void failed(std::exception_ptr thrown) noexcept;
 
   Loop& loop_;
+  Failure failure_;
   intrusive::list<Root::promise_type, intrusive::constant_time_size<false>> roots_;
 };
 
--- a/tests/fault_test.cpp
+++ b/tests/fault_test.cpp
@@ -195,4 +195,24 @@
   }
 }
 
+// An exception ends the request that it comes from: its client gets an answer, and others are served.
+TEST_CASE("a handler that throws ends its own request alone, and the failure is told") {
+  io::Loop loop(io::Loop::Time::handed);
+  std::vector<std::string> failures;
+  loop.observe_faults({}, [&](const char* what) { failures.emplace_back(what); });
+  http::Server server(loop, kAnyPort, [](http::Request& request, http::Answer& answer) -> io::Task<> {
+    if (request.head.target == "/throws") throw std::runtime_error("no reason");
+    co_await answer.whole(200, "", "fine");
+  });
+  RawClient thrower(server.address()), other(server.address());
+  thrower.write("GET /throws HTTP/1.1\r\nHost: h\r\n\r\n");
+  other.write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  pass(loop, 100);
+  thrower.read(), other.read();
+  CHECK(thrower.text().starts_with("HTTP/1.1 500"));
+  CHECK(thrower.ended());
+  CHECK(other.text().starts_with("HTTP/1.1 200"));
+  CHECK(failures == std::vector<std::string>{"no reason"});
+}
+
 }  // namespace cressrill::testing
