A prefill that is merely slow is not released ahead of time; its expected end starts the clock

The new traces show why: a release confirmed while a prefill is under way voids what that prefill leaves (202, then 410 at each writer), and releases began 750 ms after a read was written, in a jam in which reads take longer than that.

Change: where no worker has said that anything is held, the clock starts at the attempt's expected end (which the decisions now pass along with the attempt), and the release begins as late as the rule allows. A read that a confirmed release has voided is given up and done anew.

--- a/router/host.cpp
+++ b/router/host.cpp
@@ -205,6 +205,7 @@
   run.sent = loop_.now();
   run.deadline = limits.timeout > 0 ? std::min(ask->abandon_at, run.sent + limits.timeout) : ask->abandon_at;
   run.begin_by = limits.begin_by;
+  run.expected = limits.expected;
   trace(*ask, Step::decided, k, run.reads ? "prefill" : "decode");
   if (!run.reads && ask->state_run >= 0 && ask->runs[static_cast<std::size_t>(ask->state_run)]->holds_state)
     run.takes = ask->state_run;
@@ -552,8 +553,11 @@
   if (!manner_.one_release) return;
   const Run* run = k < 0 ? nullptr : ask.runs[static_cast<std::size_t>(k)].get();
   const std::shared_ptr<Ask>& owner = asks_[static_cast<std::size_t>(ask.seq)];
+  io::Nanos at = 0;
+  if (event == HoldEvent::prefill_written) at = loop_.now() + run->expected;
+  if (event == HoldEvent::prefill_lost) at = run->deadline;
   releaser_.note(std::shared_ptr<HeldRequest>(owner, &owner->kv), event, k, run == nullptr ? -1 : run->worker,
-                 run == nullptr ? 0 : run->deadline);
+                 at);
 }
 
 void Host::trace(Ask& ask, Step step, int k, const char* detail, std::size_t bytes) {
--- a/router/host.h
+++ b/router/host.h
@@ -70,6 +70,7 @@
     io::Nanos sent{};
     io::Nanos deadline{};
     io::Nanos begin_by{kNever};  // its request must have been written by then
+    io::Nanos expected{};        // how long it should take
     io::Nanos first{};           // its first event; 0: none yet
     io::Nanos stood{-1};         // how long its connection had been kept unused; negative: a new one
     io::Nanos heard{};           // last whole event of its stream
--- a/router/kv_releaser.cpp
+++ b/router/kv_releaser.cpp
@@ -26,10 +26,10 @@
       calls_(loop) {}
 
 void KvReleaser::note(const std::shared_ptr<HeldRequest>& request, HoldEvent event, int attempt, int worker,
-                      io::Nanos until) {
+                      io::Nanos at) {
   KvHold& hold = request->hold;
   const HoldState before = hold.state();
-  const bool possible = hold.note(event, loop_.now(), until);
+  const bool possible = hold.note(event, loop_.now(), at);
   request->trace.add({.at = loop_.now(),
                       .step = Step::kv_event,
                       .kv = hold.state(),
--- a/router/kv_releaser.h
+++ b/router/kv_releaser.h
@@ -42,7 +42,7 @@
 
   // An event of that request, at this moment.
   void note(const std::shared_ptr<HeldRequest>& request, HoldEvent event, int attempt, int worker,
-            io::Nanos until = 0);
+            io::Nanos at = 0);
   // Begins what has become due. To be called some times within each limit while requests are in hand.
   void look();
   // Whether this process still owes a release in time: nobody else will see to it, should it end before.
--- a/src/kv_hold.cpp
+++ b/src/kv_hold.cpp
@@ -7,10 +7,16 @@
 
 namespace {
 
-// A release begins when this part of the limit is over, so that a second worker can be told, and a third, should the first
-// ones be silent. Earlier ones would more often cross with a decode attempt that is merely slow.
+constexpr Nanos kMs = 1'000'000;
+
+// Where a worker said that it holds something, a release begins when so much of the limit is left: a second worker can be
+// told, and a third, should the first ones be silent.
 constexpr Nanos release_lead(Nanos limit) { return limit / 4; }
 
+// Where it is not known whether anything is held, a release may cost a prefill that is under way, and begins as late as the
+// rule allows: 300 ms past the limit, less 150 ms for which the process may be held up, and 100 ms for some calls.
+constexpr Nanos kUnconfirmedDelay = (300 - 150 - 100) * kMs;
+
 // A further attempt mostly leaves at once, and its worker's answer starts the limit anew: no call is made beside it.
 constexpr Nanos further_attempt_wait(Nanos limit) { return limit / 40; }
 
@@ -29,14 +35,14 @@
   return words[static_cast<int>(event)];
 }
 
-bool KvHold::note(HoldEvent event, Nanos now, Nanos until) {
+bool KvHold::note(HoldEvent event, Nanos now, Nanos at) {
   switch (event) {
     case HoldEvent::prefill_written:
     case HoldEvent::prefill_refused:
     case HoldEvent::prefill_done:
     case HoldEvent::prefill_failed:
     case HoldEvent::prefill_lost:
-      return prefill_event(event, now, until);
+      return prefill_event(event, now, at);
     case HoldEvent::decode_written:
     case HoldEvent::decode_not_run:
     case HoldEvent::decode_answered:
@@ -57,7 +63,7 @@
   if (state_ == HoldState::releasing) return since_;
   if (!owed()) return kNever;
   if (release_at_once_) return since_;
-  const Nanos last = since_ + limit_ - release_lead(limit_);
+  const Nanos last = since_ + limit_ + (confirmed_ ? -release_lead(limit_) : kUnconfirmedDelay);
   return wanted_at_ == kNever ? last : std::min(last, wanted_at_ + further_attempt_wait(limit_));
 }
 
@@ -73,27 +79,28 @@
   if (state_ == HoldState::releasing && !over_) state_ = confirmed_ ? HoldState::held : HoldState::maybe_held;
 }
 
-// What was held is gone. What a prefill leaves that may still run is held from now on at the earliest.
+// What was held is gone, and with it what a prefill leaves that is under way. One that had not arrived may arrive yet; while
+// the request goes on, a further attempt's answer tells more than another release would.
 void KvHold::cleared(Nanos now) {
   confirmed_ = false;
   wanted_at_ = kNever;
   since_ = now;
-  const bool may_come = prefills_out_ > 0 || now < lost_until_;
+  const bool may_come = over_ && (prefills_out_ > 0 || now < lost_until_);
   state_ = may_come ? HoldState::maybe_held : HoldState::released;
 }
 
-bool KvHold::prefill_event(HoldEvent event, Nanos now, Nanos until) {
+bool KvHold::prefill_event(HoldEvent event, Nanos now, Nanos at) {
   if (event == HoldEvent::prefill_written) {
     if (state_ == HoldState::taken) return false;
     ++prefills_out_;
     attempt_written();
-    if (!owed()) state_ = HoldState::maybe_held, since_ = now;
+    if (!owed()) state_ = HoldState::maybe_held, since_ = std::max(now, at);
     return true;
   }
   if (prefills_out_ == 0) return false;
   --prefills_out_;
   if (state_ == HoldState::taken) {  // one of two that ran side by side
-    if (event == HoldEvent::prefill_lost) lost_until_ = std::max(lost_until_, until);
+    if (event == HoldEvent::prefill_lost) lost_until_ = std::max(lost_until_, at);
     return true;
   }
   switch (event) {
@@ -111,8 +118,10 @@
       restart(now);
       return true;
     default:
-      lost_until_ = std::max(lost_until_, until);
+      lost_until_ = std::max(lost_until_, at);
+      if (state_ == HoldState::released) return true;  // a release meanwhile has covered it
       if (!owed()) state_ = HoldState::maybe_held, since_ = now;
+      since_ = std::min(since_, now);
       return true;
   }
 }
--- a/src/kv_hold.h
+++ b/src/kv_hold.h
@@ -4,7 +4,9 @@
 // A prefill leaves KV cache behind that a decode attempt takes or a release frees, within a limit. The limit's clock rests
 // while an attempt is out at a running worker, and starts anew with that attempt's outcome. Whether a request that was
 // written has arrived is known only from an answer; until then each rule takes the worse of both: it is not out for the
-// clock, and it may have run, so that a prefill may leave something behind.
+// clock, and it may have run, so that a prefill may leave something behind, from the moment at which it should have ended.
+// A release frees nothing that a decode attempt which has arrived waits for, and whatever a prefill leaves that is under
+// way: an early one would cost a prefill that is merely slow.
 #pragma once
 
 #include "state.h"
@@ -46,9 +48,9 @@
   // How long KV cache may be held, by the settings.
   explicit KvHold(Nanos limit) : limit_(limit) {}
 
-  // Takes an event. until, of prefill_lost: the worker was told that it is waited for until then. False where the event
-  // is not possible in this state, which is left as it is then: a defect.
-  bool note(HoldEvent event, Nanos now, Nanos until = 0);
+  // Takes an event. at: of prefill_written, when the prefill is expected to end; of prefill_lost, until when the worker was
+  // told that it is waited for. False where the event is not possible in this state, which is left as it is then: a defect.
+  bool note(HoldEvent event, Nanos now, Nanos at = 0);
 
   HoldState state() const { return state_; }
   // Whether something may be held that nobody else will take or release.
@@ -64,7 +66,7 @@
   Nanos limit() const { return limit_; }
 
  private:
-  bool prefill_event(HoldEvent event, Nanos now, Nanos until);
+  bool prefill_event(HoldEvent event, Nanos now, Nanos at);
   bool decode_event(HoldEvent event, Nanos now);
   bool release_event(HoldEvent event, Nanos now);
   void attempt_written();
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -188,12 +188,14 @@
     run();
   }
 
-  // A writer that is asked now would find no state: the sequence is read anew. One that is out may have the state yet.
+  // A writer that is asked now would find no state, and a read that is out leaves none: the sequence is read anew. A write
+  // that is out may have the state yet.
   void cache_released(Nanos now, int seq) override {
     now_ = now;
     Sequence& q = unparked(seq);
     state_gone(q);
-    if (q.stage == Stage::read) enter(q, Stage::waiting);
+    if (q.stage == Stage::reading) stop_asking(q);
+    if (q.stage == Stage::reading || q.stage == Stage::read) enter(q, Stage::waiting);
     run();
   }
   Belief believed(int worker) const override { return {at(worker).pending, at(worker).states}; }
@@ -805,7 +807,7 @@
     watch(worker);
     q.attempts.push_back(a);
     const bool last = static_cast<int>(q.attempts.size()) + (reads ? 2 : 1) > d_.attempts_cap;
-    out_.send(q.id, worker, {last ? 0 : late_after(a), begin_by});
+    out_.send(q.id, worker, {last ? 0 : late_after(a), a.expected, begin_by});
   }
 
   // The holder table.
--- a/src/policy.h
+++ b/src/policy.h
@@ -13,6 +13,7 @@
 // The times that bound one attempt.
 struct AttemptLimits {
   Nanos timeout{};         // after its decision; 0: until the client gives up
+  Nanos expected{};        // how long it should take, by what is known of its worker
   Nanos begin_by{kNever};  // its request must have been written by then: a repeat is not recognised later
 };
 
@@ -54,8 +55,8 @@
   virtual void attempt_ended(Nanos now, int seq, int attempt, Outcome outcome, Nanos took, bool closed,
                              double kept, const Report& report) = 0;
   virtual void woke(Nanos now) = 0;
-  // A worker has confirmed a release that the decisions did not order: nothing is held for that sequence, unless an
-  // attempt that is out has arrived and waits for it.
+  // A worker has confirmed a release that the decisions did not order: nothing is held for that sequence, unless a write
+  // that is out has arrived and waits for it; and a read that is out will leave nothing.
   virtual void cache_released(Nanos, int /*seq*/) {}
 };
 
