A release comes before the next prefill, and a prefill that waits in a jam is given its time

By the rule's text an attempt that has arrived rests the clock until it ends, and one that has not leaves nothing: a first prefill alone owes nothing until it is lost. What does owe is a lost one beside its successor.

Change: a lost prefill's end starts the clock; a release is tried before the next prefill is written (for a fortieth of the limit), so that it cannot void that one; a first prefill that should take more than half of the limit waits for its own time-out.

--- a/router/host.cpp
+++ b/router/host.cpp
@@ -349,6 +349,8 @@
       co_return end(*ask, k, lease.crowded() ? Outcome::not_sent : Outcome::connect_failed);
     run.stood = lease->used_before ? lease->stood : -1;
     trace(*ask, Step::connected, k);
+    if (run.reads && ask->kv.hold.release_comes_first())
+      co_await releaser_.release_first(std::shared_ptr<HeldRequest>(ask, &ask->kv));
     if (!may_begin(*ask, run)) co_return end(*ask, k, Outcome::not_sent);
     // Noted before the first byte: a worker may hold something from then on.
     if (!std::exchange(run.written, true))
--- a/router/kv_releaser.cpp
+++ b/router/kv_releaser.cpp
@@ -44,14 +44,21 @@
   }
   if (event == HoldEvent::prefill_written) request->prefilled_at.push_back(worker);
   if (event == HoldEvent::request_over) request->over = true;
+  if (!hold.release_comes_first()) request->settled.notify();
   if (request->releasing) return request->changed.notify();
-  if (request->over && hold.owed()) return begin(request);
+  if ((request->over && hold.owed()) || hold.release_due() <= loop_.now()) return begin(request);
   if (hold.owed()) watch(request);
 }
 
+io::Task<> KvReleaser::release_first(std::shared_ptr<HeldRequest> request) {
+  const io::Nanos until = loop_.now() + pause_before_next_call(limit_, 0);
+  while (request->hold.release_comes_first() && loop_.now() < until)
+    co_await io::wait_until(loop_, request->settled, until);
+}
+
 void KvReleaser::watch(const std::shared_ptr<HeldRequest>& request) {
   const io::Nanos due = request->hold.release_due();
-  if (due >= request->due_at) return;
+  if (due >= request->due_at) return;  // none, or looked at before
   request->due_at = due;
   due_.push({due, request});
 }
@@ -94,13 +101,14 @@
       co_await io::wait_until(loop_, request->changed, hold.release_due());
       continue;
     }
+    const bool ordered = hold.wanted();  // by the decisions, which know of it
     note(request, HoldEvent::release_asked, -1, -1);
     counters_.release_asked();
     const bool confirmed = co_await tell_until_confirmed(*request);
     if (confirmed) {
       note(request, HoldEvent::release_confirmed, -1, -1);
       counters_.release_confirmed();
-      if (!request->over) released_(*request);
+      if (!request->over && !ordered) released_(*request);
     } else if (hold.state() == HoldState::releasing) {
       counters_.release_given_up();
       traces_.write(request->id, request->trace, "no worker has confirmed a release");
--- a/router/kv_releaser.h
+++ b/router/kv_releaser.h
@@ -20,7 +20,7 @@
 
 // What is held for one request, and what is needed to release it after the request itself is over.
 struct HeldRequest {
-  HeldRequest(io::Loop& loop, io::Nanos limit) : hold(limit), changed(loop) {}
+  HeldRequest(io::Loop& loop, io::Nanos limit) : hold(limit), changed(loop), settled(loop) {}
   std::string id;
   std::unique_ptr<Talk> talk;
   KvHold hold;
@@ -30,7 +30,8 @@
   io::Nanos due_at{kNever};       // when its release is looked at next
   bool releasing{};               // a task of the releaser has it
   bool violated{};                // was counted as held too long
-  io::Signal changed;             // for that task
+  io::Signal changed;             // for that task,
+  io::Signal settled;             // and for an attempt that a release comes before
 };
 
 class KvReleaser {
@@ -43,6 +44,8 @@
   // An event of that request, at this moment.
   void note(const std::shared_ptr<HeldRequest>& request, HoldEvent event, int attempt, int worker,
             io::Nanos at = 0);
+  // Waits a moment for a release that is to come before a further prefill.
+  io::Task<> release_first(std::shared_ptr<HeldRequest> request);
   // Begins what has become due. To be called some times within each limit while requests are in hand.
   void look();
   // Whether this process still owes a release in time: nobody else will see to it, should it end before.
--- a/src/kv_hold.cpp
+++ b/src/kv_hold.cpp
@@ -63,13 +63,25 @@
   if (state_ == HoldState::releasing) return since_;
   if (!owed()) return kNever;
   if (release_at_once_) return since_;
-  const Nanos last = since_ + limit_ + (confirmed_ ? -release_lead(limit_) : kUnconfirmedDelay);
-  return wanted_at_ == kNever ? last : std::min(last, wanted_at_ + further_attempt_wait(limit_));
+  return std::min(last_moment(), wanted_moment());
+}
+
+Nanos KvHold::last_moment() const {
+  if (confirmed_) return since_ + limit_ - release_lead(limit_);
+  // A prefill that is expected to take long waits in a jam: it is as good as out until it is given up.
+  const bool merely_slow = !ended_ && expected_ > limit_ / 2;
+  return merely_slow ? kNever : since_ + limit_ + kUnconfirmedDelay;
+}
+
+Nanos KvHold::wanted_moment() const {
+  if (wanted_at_ == kNever) return kNever;
+  return release_comes_first() ? wanted_at_ : wanted_at_ + further_attempt_wait(limit_);
 }
 
 // An attempt was out at a running worker until now: what is held may be held for the whole limit from here.
 void KvHold::restart(Nanos now) {
   since_ = now;
+  ended_ = true;
   if (state_ == HoldState::releasing && !over_) state_ = confirmed_ ? HoldState::held : HoldState::maybe_held;
 }
 
@@ -82,7 +94,8 @@
 // What was held is gone, and with it what a prefill leaves that is under way. One that had not arrived may arrive yet; while
 // the request goes on, a further attempt's answer tells more than another release would.
 void KvHold::cleared(Nanos now) {
-  confirmed_ = false;
+  confirmed_ = lost_ = false;
+  ended_ = true;
   wanted_at_ = kNever;
   since_ = now;
   const bool may_come = over_ && (prefills_out_ > 0 || now < lost_until_);
@@ -94,7 +107,12 @@
     if (state_ == HoldState::taken) return false;
     ++prefills_out_;
     attempt_written();
-    if (!owed()) state_ = HoldState::maybe_held, since_ = std::max(now, at);
+    if (!owed()) {
+      state_ = HoldState::maybe_held;
+      ended_ = false;
+      expected_ = at - now;
+      since_ = at;
+    }
     return true;
   }
   if (prefills_out_ == 0) return false;
@@ -109,7 +127,8 @@
         state_ = HoldState::none;
       return true;
     case HoldEvent::prefill_done:
-      confirmed_ = true;
+      confirmed_ = ended_ = true;
+      lost_ = false;
       state_ = over_ ? HoldState::releasing : HoldState::held;
       since_ = now;
       return true;
@@ -120,8 +139,9 @@
     default:
       lost_until_ = std::max(lost_until_, at);
       if (state_ == HoldState::released) return true;  // a release meanwhile has covered it
-      if (!owed()) state_ = HoldState::maybe_held, since_ = now;
-      since_ = std::min(since_, now);
+      lost_ = true;
+      state_ = owed() ? state_ : HoldState::maybe_held;
+      if (!std::exchange(ended_, true)) since_ = now;
       return true;
   }
 }
@@ -145,7 +165,7 @@
     case HoldEvent::decode_answered:
     case HoldEvent::decode_lost:
       // Workers keep what an attempt waits for: had it arrived, a release meanwhile has freed nothing.
-      if (state_ == HoldState::released) state_ = HoldState::maybe_held, since_ = now;
+      if (state_ == HoldState::released) state_ = HoldState::maybe_held, since_ = now, ended_ = true;
       if (owed() && event == HoldEvent::decode_answered) restart(now);
       return true;
     default:
@@ -161,7 +181,7 @@
     case HoldEvent::request_over:
       // What a lost prefill leaves behind the answer's beginning is nobody else's.
       if (state_ == HoldState::taken && (prefills_out_ > 0 || now < lost_until_))
-        state_ = HoldState::maybe_held, since_ = now;
+        state_ = HoldState::maybe_held, since_ = now, ended_ = true;
       over_ = true;
       release_at_once_ = owed();
       return true;
--- a/src/kv_hold.h
+++ b/src/kv_hold.h
@@ -61,6 +61,10 @@
   Nanos since() const { return since_; }
   // When a release is to begin; kNever where none is.
   Nanos release_due() const;
+  // Whether a release is to be tried before a further prefill is written: it would void that one's result as well.
+  bool release_comes_first() const { return lost_ && !over_ && wanted_at_ != kNever && owed(); }
+  // Whether a release was wanted, and no attempt has been written since.
+  bool wanted() const { return wanted_at_ != kNever; }
   // Where a worker has confirmed that something is held, and none that it is released: the last moment of the limit.
   Nanos confirmed_until() const { return owed() && confirmed_ ? since_ + limit_ : kNever; }
   Nanos limit() const { return limit_; }
@@ -70,6 +74,8 @@
   bool decode_event(HoldEvent event, Nanos now);
   bool release_event(HoldEvent event, Nanos now);
   void attempt_written();
+  Nanos last_moment() const;
+  Nanos wanted_moment() const;
   void restart(Nanos now);
   void cleared(Nanos now);
 
@@ -77,6 +83,9 @@
   HoldState state_{HoldState::none};
   Nanos since_{};
   bool confirmed_{};         // a worker said that it holds something
+  bool ended_{};             // since_ is the end of an attempt; else the expected end of a first prefill
+  bool lost_{};              // a prefill was lost, and no release was confirmed since
+  Nanos expected_{};         // how long that first prefill should take
   bool over_{};              // the request needs nothing any more:
   Nanos wanted_at_{kNever};  // a release was wanted, and no attempt has been written since
   bool release_at_once_{};   // a release has not begun since then
