--- a/programs/soak.cpp
+++ b/programs/soak.cpp
@@ -1,4 +1,5 @@
 // cressrill-soak: a randomized fault soak of the router on real processes, and the stand-ins that it starts.
+#include <signal.h>
 #include <unistd.h>
 
 #include <filesystem>
@@ -28,10 +29,26 @@
   return kFine;
 }
 
+// SIGUSR1: the open connections fall silent. SIGUSR2: all do, until SIGHUP.
+io::Task<> steer(io::Loop& loop, io::Signals& signals, soak::Proxy& proxy) {
+  for (;;) {
+    const int number = co_await signals.wait();
+    if (number == SIGTERM || number == SIGINT) break;
+    if (number == SIGUSR1) proxy.silence_open_connections();
+    if (number == SIGUSR2) proxy.silence_all(true);
+    if (number == SIGHUP) proxy.silence_all(false);
+  }
+  loop.stop();
+}
+
 int run_proxy(const std::string& listen, const std::string& target, std::uint64_t seed) {
   io::Loop loop;
+  io::ignore_broken_pipes();
   soak::Proxy proxy(loop, address_of(listen), address_of(target), seed);
-  io::run_until_told(loop);
+  io::Signals signals(loop, {SIGTERM, SIGINT, SIGUSR1, SIGUSR2, SIGHUP});
+  io::Scope scope(loop, io::Scope::Failure::ends_program);
+  scope.spawn(steer(loop, signals, proxy));
+  loop.run();
   return kFine;
 }
 
