--- a/rig/soak/worker.cpp
+++ b/rig/soak/worker.cpp
@@ -34,8 +34,17 @@
                        {"budget_ms", std::stoll(budget)},
                        {"came", request.came}};
   note("post", id, std::move(facts));
+  // Its attempt ends as soon as its connection does, whatever it does then.
+  bool ended = false;
+  io::Scope watch(loop_);
+  watch.spawn(
+      [](SoakWorker& worker, std::string of, std::uint64_t n, http::Answer& to, bool& over) -> io::Task<> {
+        co_await to.peer_gone();
+        over = true;
+        worker.note("post_end", of, {{"number", n}});
+      }(*this, id, number, answer, ended));
   co_await call(id, number, answer);
-  note("post_end", id, {{"number", number}});
+  if (!ended) note("post_end", id, {{"number", number}});
 }
 
 io::Task<> SoakWorker::call(const std::string& id, std::uint64_t number, http::Answer& answer) {
--- a/src/kv_hold.cpp
+++ b/src/kv_hold.cpp
@@ -17,6 +17,10 @@
 // rule allows: 300 ms past the limit, less 150 ms for which the process may be held up, and 100 ms for some calls.
 constexpr Nanos kUnconfirmedDelay = (300 - 150 - 100) * kMs;
 
+// The end of a connection and a release go to two workers: where the release comes first, it frees nothing that the attempt
+// on that connection still waits for.
+constexpr Nanos kEndMayLag = 50 * kMs;
+
 // A further attempt mostly leaves at once, and its worker's answer starts the limit anew: no call is made beside it.
 constexpr Nanos further_attempt_wait(Nanos limit) { return limit / 40; }
 
@@ -98,7 +102,7 @@
   ended_ = true;
   wanted_at_ = kNever;
   since_ = now;
-  const bool may_come = over_ && (prefills_out_ > 0 || now < lost_until_);
+  const bool may_come = (over_ && (prefills_out_ > 0 || now < lost_until_)) || now < decode_lost_until_;
   state_ = may_come ? HoldState::maybe_held : HoldState::released;
 }
 
@@ -164,6 +168,7 @@
       return true;
     case HoldEvent::decode_answered:
     case HoldEvent::decode_lost:
+      if (event == HoldEvent::decode_lost) decode_lost_until_ = now + kEndMayLag;
       // Workers keep what an attempt waits for: had it arrived, a release meanwhile has freed nothing.
       if (state_ == HoldState::released) state_ = HoldState::maybe_held, since_ = now, ended_ = true;
       if (owed() && event == HoldEvent::decode_answered) restart(now);
--- a/src/kv_hold.h
+++ b/src/kv_hold.h
@@ -91,7 +91,8 @@
   bool release_at_once_{};   // a release has not begun since then
   int prefills_out_{};       // written, and their ends not known
   int decodes_out_{};
-  Nanos lost_until_{};  // a prefill that is not waited for may still run until then
+  Nanos decode_lost_until_{};  // one that is not waited for may still wait for what is held until then
+  Nanos lost_until_{};         // a prefill that is not waited for may still run until then
 };
 
 }  // namespace cressrill
--- a/tests/kv_hold_test.cpp
+++ b/tests/kv_hold_test.cpp
@@ -119,6 +119,22 @@
   CHECK(hold.state() == HoldState::released);
 }
 
+TEST_CASE("a release that may have come before the end of the attempt it was for is followed by another") {
+  KvHold hold = prefilled();
+  hold.note(Event::decode_written, 60 * kMs);
+  hold.note(Event::request_over, 100 * kMs);
+  hold.note(Event::decode_lost, 100 * kMs);
+  hold.note(Event::release_asked, 100 * kMs);
+  CHECK(hold.note(Event::release_confirmed, 102 * kMs));
+  CHECK(hold.state() == HoldState::maybe_held);
+  const Nanos again = hold.release_due();
+  CHECK(again > 150 * kMs);
+  CHECK(again < 100 * kMs + kLimit + 300 * kMs);
+  hold.note(Event::release_asked, again);
+  CHECK(hold.note(Event::release_confirmed, again + kMs));
+  CHECK(hold.state() == HoldState::released);
+}
+
 TEST_CASE("a begun answer has taken what was held; what cannot follow is refused") {
   KvHold hold = prefilled();
   hold.note(Event::decode_written, 60 * kMs);
--- a/tests/soak_checker_test.cpp
+++ b/tests/soak_checker_test.cpp
@@ -124,6 +124,22 @@
   CHECK(breaches({sent(0), post(1000, "decode-1-0", false, 1, 1190), answer(1100)}) == 1);
 }
 
+TEST_CASE("the judge: events that a router holds back, and those that a silent link does") {
+  const auto event = [](std::int64_t written, std::int64_t read) {
+    return Lines{line(written, "event", {{"id", "a"}, {"worker", "decode-1-0"}, {"index", 0}}),
+                 line(read, "event_read", {{"id", "a"}, {"index", 0}})};
+  };
+  const Lines request{sent(0), answer(50)};
+  CHECK(breaches(request + event(100, 420)) == 0);
+  CHECK(breaches(request + event(100, 440)) == 1);
+  const auto cut = [](std::int64_t from, std::int64_t to) {
+    return Lines{line(from, "links_cut", {{"worker", "decode-1"}}),
+                 line(to, "links_pass", {{"worker", "decode-1"}})};
+  };
+  CHECK(breaches(request + cut(90, 800) + event(100, 810)) == 0);
+  CHECK(breaches(request + cut(300, 400) + event(100, 440)) == 1);
+}
+
 TEST_CASE(
     "the judge: a drain is told 6 s after discovery had it and could be reached, whatever failed later") {
   const Line drain = line(1000, "draining", {{"worker", "decode-1-0"}});
