--- a/rig/soak/checker.cpp
+++ b/rig/soak/checker.cpp
@@ -104,6 +104,8 @@
     if (event == "held") r.holds.push_back({HoldMark::What::held, at, line.at("worker")});
     if (event == "fetched") r.holds.push_back({HoldMark::What::fetched, at, line.at("worker")});
     if (event == "released") r.holds.push_back({HoldMark::What::released, at, line.at("worker")});
+    // A client gets one stream, the last that begins.
+    if (event == "event" && line.at("index") == 0) r.events_written.clear();
     if (event == "event") r.events_written[line.at("index")] = {at, line.at("worker")};
     if (event == "event_read") r.events_read[line.at("index")] = at;
   }
--- a/rig/soak/proxy.cpp
+++ b/rig/soak/proxy.cpp
@@ -39,8 +39,8 @@
 }
 
 void Proxy::silence_open_connections() {
-  silent_up_to_ = accepted_;
-  answers_only_ = std::uniform_int_distribution<int>(0, 2)(random_) == 0;
+  const bool answers_only = std::uniform_int_distribution<int>(0, 2)(random_) == 0;
+  (answers_only ? answers_silent_up_to_ : silent_up_to_) = accepted_;
 }
 
 void Proxy::silence_all(bool silent) {
@@ -49,8 +49,8 @@
 }
 
 bool Proxy::passes(std::uint64_t number, bool towards_worker) const {
-  if (all_silent_) return false;
-  return number > silent_up_to_ || (answers_only_ && towards_worker);
+  if (all_silent_ || number <= silent_up_to_) return false;
+  return towards_worker || number > answers_silent_up_to_;
 }
 
 io::Task<> Proxy::carry(io::Socket client, std::uint64_t number) {
--- a/rig/soak/proxy.h
+++ b/rig/soak/proxy.h
@@ -30,8 +30,8 @@
   std::mt19937_64 random_;
   io::Listener listener_;
   std::uint64_t accepted_{};
-  std::uint64_t silent_up_to_{};  // connections of these numbers
-  bool answers_only_{};           // of those, the way to the worker passes
+  std::uint64_t silent_up_to_{};          // connections of these numbers, for good
+  std::uint64_t answers_silent_up_to_{};  // and of these, on the way to the router
   bool all_silent_{};
   io::Signal passes_again_;
   io::Scope connections_;
--- a/tests/soak_checker_test.cpp
+++ b/tests/soak_checker_test.cpp
@@ -138,6 +138,11 @@
   };
   CHECK(breaches(request + cut(90, 800) + event(100, 810)) == 0);
   CHECK(breaches(request + cut(300, 400) + event(100, 440)) == 1);
+  // The last event of a stream that nobody got is no earlier one of the next stream.
+  const Lines lost{line(60, "event", {{"id", "a"}, {"worker", "decode-1-0"}, {"index", 0}}),
+                   line(70, "event", {{"id", "a"}, {"worker", "decode-1-0"}, {"index", 1}})};
+  CHECK(breaches(request + lost + event(900, 910) +
+                 Lines{line(950, "event_read", {{"id", "a"}, {"index", 1}})}) == 0);
 }
 
 TEST_CASE(
