--- a/tests/silent_link_test.cpp
+++ b/tests/silent_link_test.cpp
@@ -84,6 +84,7 @@
         s.pass(9000);
         check_held(watch, limit_ms * kMs);
         CHECK(s.states.empty());
+        CHECK(s.node->host().invariants().violations() == 0);
       }
 }
 
@@ -189,6 +190,8 @@
   for (auto& w : s.workers) w->cut = true;
   s.pass(3000);
   REQUIRE(!s.states.empty());
+  // Judged by what was confirmed: no release was, so the rule is known to be broken, whatever was written.
+  CHECK(s.node->host().invariants().violations(core::Invariant::kv_released_in_time) > 0);
   for (auto& w : s.workers) w->cut = false, w->cut_connections = w->connections;  // buffered bytes are lost
   s.pass(kSlack / kMs + 200);
   CHECK(s.states.empty());
