Two tests of held KV cache that fail: lost answers of slow prefills, attempts that outlive a confirmed release

The stand-in of workers voids a prefill under way at a release, as workers do, and can end an attempt without a word.

--- /dev/null
+++ b/tests/held_state_test.cpp
@@ -0,0 +1,162 @@
+// What operators saw: KV cache that prefill workers held for a few requests was neither taken by a decode worker nor released
+// within its limit, on days with silent links, hung workers and lost answers. The router's log showed its releases as
+// confirmed, or none at all.
+// Order of events, first kind: a prefill ends at its worker; its answer is lost on a connection that stays open; as prefills
+// had been slow before, the router takes it for one that is merely slow and sends no release until the attempt times out.
+// Second kind: a decode attempt arrives at its worker, and its link falls silent; the router gives the attempt up and sends
+// releases, which other workers confirm; they free nothing, as the decode worker still waits for the KV cache; the end of the
+// attempt reaches the decode worker later, and no release is sent after that.
+// Cause: an event on the router's side (a write, a close, a time-out, a confirmed release) stood for the end of an attempt at
+// another machine.
+// Evidence: records of workers in which each release was heard before the attempt's connection ended there, and none after;
+// records in which a prefill's end and the first release lie further apart than the limit, beside the router's trace of that
+// request, which says "maybe_held" throughout.
+#include "hold_watch.h"
+
+namespace cressrill::testing {
+
+namespace {
+
+using While = HoldWatch::While;
+
+// Ends at the worker after so long without a word to the router.
+Act answer_lost(io::Nanos after) { return {"", Act::Then::hold, after, false, true}; }
+Act ends_silently(io::Nanos after) { return {"", Act::Then::abandon, after}; }
+Act slow(io::Nanos after) { return {"", Act::Then::keep, after, true}; }
+
+void act(Site& s, bool reads, const Act& act, std::size_t times = 20) {
+  for (auto& w : s.workers)
+    if (w->reads == reads) w->acts = std::deque<Act>(times, act);
+}
+// The router learns that work of that stage takes long.
+void learn_slow(Site& s, bool reads, io::Nanos span) {
+  act(s, reads, slow(span), 3);
+  for (int i = 0; i < 6; ++i) s.send("slow" + std::to_string(i), Site::call("s" + std::to_string(i)));
+  for (int i = 0; i < 6; ++i) REQUIRE(s.answer("slow" + std::to_string(i)).status == 200);
+  act(s, reads, {}, 0);
+  s.pass(100);
+}
+void cut(Site& s, bool reads, bool silent = true) {
+  for (auto& w : s.workers)
+    if (w->reads == reads) w->cut = silent;
+}
+
+void nothing_is_left(Site& s, const HoldWatch& watch, int limit_ms) {
+  check_held(watch, limit_ms * kMs);
+  CHECK(s.states.empty());
+}
+
+}  // namespace
+
+TEST_CASE("a prefill whose answer is lost: what it left is released within the limit, counted from its end") {
+  for (const int limit_ms : {300, 500, 1000})
+    for (const bool parallel : {true, false})
+      for (const bool cancelling : {true, false}) {
+        CAPTURE(limit_ms);
+        CAPTURE(parallel);
+        CAPTURE(cancelling);
+        Site s(4, 4, with_limit(limit_ms, parallel, cancelling));
+        learn_slow(s, true, 400 * kMs);
+        act(s, true, answer_lost(30 * kMs));
+        s.worker("reader-3").acts.clear();
+        HoldWatch watch(s, While::unattended);
+        SUBCASE("the client waits") { send_some(s, 12, "3000"); }
+        SUBCASE("the client leaves") { send_some(s, 12, "3000", 60 * kMs); }
+        SUBCASE("decode workers are silent as well") {
+          cut(s, false);
+          send_some(s, 12, "3000");
+        }
+        s.pass(8000);
+        nothing_is_left(s, watch, limit_ms);
+      }
+}
+
+TEST_CASE(
+    "a release that was confirmed is followed by others until each attempt is known to be over at its "
+    "worker") {
+  for (const int limit_ms : {300, 500, 1000}) {
+    CAPTURE(limit_ms);
+    SUBCASE("a decode attempt waits at a worker whose link is silent, past its request's end") {
+      Site s(2, 2, with_limit(limit_ms, false, false));
+      warm(s);
+      act(s, false, ends_silently(2400 * kMs));
+      HoldWatch watch(s, While::unattended);
+      send_some(s, 4, "1200");
+      cut(s, false);  // what has arrived waits there; the end of its connection does not arrive
+      s.pass(2500);
+      cut(s, false, false);
+      s.pass(4000);
+      nothing_is_left(s, watch, limit_ms);
+    }
+    SUBCASE("a decode attempt ends at its worker while the router still waits for its answer") {
+      Site s(2, 2, with_limit(limit_ms));
+      learn_slow(s, false, 1500 * kMs);
+      act(s, false, ends_silently(600 * kMs));
+      HoldWatch watch(s, While::unattended);
+      send_some(s, 4, "4800");
+      s.pass(8000);
+      nothing_is_left(s, watch, limit_ms);
+    }
+    SUBCASE("a prefill arrives after the releases of its request, which is over") {
+      Site s(2, 2, with_limit(limit_ms));
+      warm(s);
+      cut(s, true);
+      HoldWatch watch(s, While::unattended);
+      send_some(s, 4, "400");
+      s.pass(1500);
+      cut(s, true, false);
+      s.pass(4000);
+      nothing_is_left(s, watch, limit_ms);
+    }
+    SUBCASE("a prefill arrives after another one's KV cache was taken") {
+      Site s(2, 2, with_limit(limit_ms));
+      warm(s);
+      s.worker("reader-0").cut = true;
+      HoldWatch watch(s, While::unattended);
+      send_some(s, 8, "4800");
+      for (int i = 0; i < 8; ++i) REQUIRE(s.answer("a" + std::to_string(i)).status == 200);
+      s.pass(1500);
+      s.worker("reader-0").cut = false;
+      s.pass(4000);
+      nothing_is_left(s, watch, limit_ms);
+    }
+    SUBCASE("a prefill is refused after one whose answer was lost") {
+      Site s(1, 2, with_limit(limit_ms));
+      warm(s);
+      s.worker("reader-0").acts = always_full();
+      s.worker("reader-0").acts.push_front(answer_lost(20 * kMs));
+      for (auto& w : s.workers) w->loses_releases = true;
+      HoldWatch watch(s, While::unattended);
+      send_some(s, 1, "3000");
+      REQUIRE(
+          s.until([&] { return s.lines("POST") >= 9; }));  // the warm ones, the lost one, and a refused one
+      s.pass(60);
+      for (auto& w : s.workers) w->loses_releases = false;
+      s.pass(4000);
+      nothing_is_left(s, watch, limit_ms);
+    }
+    SUBCASE("the process ends while a decode attempt waits at a worker whose link is silent") {
+      Site s(2, 2, with_limit(limit_ms, false, false));
+      warm(s);
+      act(s, false, ends_silently(1800 * kMs));
+      HoldWatch watch(s, While::unattended);
+      send_some(s, 2, "800");
+      cut(s, false);
+      s.node->announce_end();
+      s.pass(450);
+      s.node->drain();
+      s.pass(100);
+      s.node->close();
+      bool settled = false;
+      for (int i = 0; i < 20 && !settled; ++i) {
+        s.pass(100);
+        settled = s.node->settled();
+        if (i == 12) cut(s, false, false);
+      }
+      CHECK(settled);
+      nothing_is_left(s, watch, limit_ms);
+    }
+  }
+}
+
+}  // namespace cressrill::testing
--- a/tests/site.h
+++ b/tests/site.h
@@ -19,7 +19,8 @@
 
 // What a worker does with a request, where it is not the usual.
 struct Act {
-  enum class Then { keep, close, reset, hold };
+  // abandon: the attempt is over at the worker, and its connection, which stays open, tells nothing of it.
+  enum class Then { keep, close, reset, hold, abandon };
   std::string text;  // sent in place of an answer
   Then then{Then::keep};
   io::Nanos after{};    // waits so long first
@@ -35,9 +36,11 @@
       20, {http::response_text(503, "X-Rejected: 1\r\n", "", true), Act::Then::keep, 30 * kMs});
 }
 
-// States that readers hold, by the id of their request: who holds them. A release frees none that an attempt waits for.
+// States that readers hold, by the id of their request: who holds them. A release frees none that an attempt waits for, and
+// voids a read that is under way.
 struct States : std::map<std::string, std::string> {
   std::multiset<std::string> awaited;
+  std::map<std::string, int> releases;
 };
 
 class Worker {
@@ -68,6 +71,7 @@
   int open{};                      // requests that came and whose connection is neither answered nor ended
   int connections{};
   bool silent{};  // what comes is taken, and nothing is done
+  bool loses_releases{};
   // Links that pass nothing and stay open, while the worker runs on: all of them, or the first so many connections. What
   // was written to them meanwhile arrives once they pass again.
   bool cut{};
@@ -102,8 +106,10 @@
     Awaits(States& among, std::string its_id) : states(among), id(std::move(its_id)) {
       if (!id.empty()) states.awaited.insert(id);
     }
-    ~Awaits() {
+    ~Awaits() { end(); }
+    void end() {
       if (!id.empty()) states.awaited.erase(states.awaited.find(id));
+      id.clear();
     }
     Awaits(const Awaits&) = delete;
     Awaits& operator=(const Awaits&) = delete;
@@ -123,7 +129,9 @@
       while (cut || number <= cut_connections) co_await loop_.sleep_for(5 * kMs);
       if (head.method == "DELETE") {
         const std::string id = target.substr(target.rfind('/') + 1);
+        if (loses_releases) co_await loop_.sleep_for(600 * io::kSecond);
         seen.push_back("DELETE " + id);
+        ++states_.releases[id];
         if (!states_.awaited.contains(id)) states_.erase(id);
         co_await s.write_all("HTTP/1.1 204 No Content\r\n\r\n");
         continue;
@@ -135,7 +143,8 @@
       for (const auto& [field, value] : head.fields)
         heads.back().append(field).append(": ").append(value).append("\n");
       Open in_hand(open);
-      const Awaits awaits(states_, reads ? "" : id);
+      Awaits awaits(states_, reads ? "" : id);
+      const int releases = states_.releases[id];
       io::Scope watch(loop_);
       watch.spawn([](io::Socket& to, Open& request) -> io::Task<> {
         co_await to.peer_gone();
@@ -146,25 +155,31 @@
       if (act.after > 0) co_await loop_.sleep_for(act.after);
       if (act.usual) {
         if (reads)
-          co_await read(s, id);
+          co_await read(s, id, releases);
         else
           co_await write(s, id);
         continue;
       }
-      if (act.leaves) states_[id] = name;
+      if (act.leaves) leave_state(id, releases);
       co_await s.write_all(act.text);
       if (!act.later.empty()) {
         co_await loop_.sleep_for(act.behind);
         co_await s.write_all(act.later);
       }
-      if (act.then == Act::Then::hold) co_await loop_.sleep_for(600 * io::kSecond);
+      if (act.then == Act::Then::abandon) awaits.end(), in_hand.end();
+      if (act.then == Act::Then::hold || act.then == Act::Then::abandon)
+        co_await loop_.sleep_for(600 * io::kSecond);
       if (act.then == Act::Then::reset) s.close(true);
       if (act.then != Act::Then::keep) co_return;
     }
   }
-  io::Task<> read(io::Socket& s, std::string id) {
+  // releases: of that request, as the read began.
+  void leave_state(const std::string& id, int releases) {
+    if (states_.releases[id] == releases) states_[id] = name;
+  }
+  io::Task<> read(io::Socket& s, std::string id, int releases) {
     co_await loop_.sleep_for(20 * kMs);
-    states_[id] = name;
+    leave_state(id, releases);
     co_await s.write_all(
         "HTTP/1.1 202 Accepted\r\nX-Load-Report: concurrent=1,x0=0.2\r\n"
         "content-length: 20\r\n\r\n{\"cached_tokens\":128}");
