What is held is released until each attempt is known to be over at its worker, not until one release is confirmed

Cause: events on this side stood for the end of something at a worker. A request that was over waited for its prefill's expected end (release_due() gave since_, a time to come). Ruled out: places held ahead (none is asked for), workers out of reach (releases were confirmed each time).

Change: src/kv_hold keeps each attempt until it is known to be over, by the table of evidence in its header; releases follow each other within the limit until then, 30 s at the most, also while the process ends (100 ms apart, 3 s at the most). A prefill is taken as running for its learned time, and not at all where the request may not be repeated. Reads that a release voids are learned from as those that time out. An index of a worker that is used again is told from the old one by identity.

--- a/http/client.cpp
+++ b/http/client.cpp
@@ -96,6 +96,14 @@
   co_return connection;
 }
 
+bool Pool::has_rested() const {
+  return std::ranges::any_of(kept_, [this](const Kept& kept) {
+    const io::Nanos stood = loop_.now() - kept.since;
+    return stood >= bounds_.rest &&
+           (!bounds_.budget || bounds_.budget->idle_reuse_.worth_using(stood, loop_.now()));
+  });
+}
+
 void Pool::give_back(std::unique_ptr<Connection> connection) {
   if (kept_.size() >= bounds_.kept || connection->reader->leftover() || !connection->socket.is_open()) {
     connection.reset();
--- a/http/client.h
+++ b/http/client.h
@@ -69,6 +69,8 @@
   io::Address peer() const { return peer_; }
   std::size_t open() const { return open_; }
   std::size_t kept() const { return kept_.size(); }
+  // Whether one that is kept can be used now.
+  bool has_rested() const;
   std::size_t dialled() const { return dialled_; }
 
  private:
--- a/router/fleet.h
+++ b/router/fleet.h
@@ -1,6 +1,7 @@
 // The workers that the list has named: small indices for their names, and the connections to each.
 #pragma once
 
+#include <algorithm>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -27,8 +28,14 @@
   io::Nanos started{};            // on the monotonic clock; 0: long ago
   std::uint64_t start_version{};  // of the list that told that start, and who told it
   int start_source{};
-  io::Nanos heard{};                 // an attempt's answer came last
+  io::Nanos heard{};                 // an answer came last, and
+  io::Nanos answered_call{};         // the latest call that was answered had been written
   std::shared_ptr<http::Pool> pool;  // attempts that are out keep an old address's pool alive
+
+  void answered(io::Nanos call_written, io::Nanos now) {
+    heard = now;
+    answered_call = std::max(answered_call, call_written);
+  }
 };
 
 class Fleet {
--- a/router/host.cpp
+++ b/router/host.cpp
@@ -205,7 +205,7 @@
   run.sent = loop_.now();
   run.deadline = limits.timeout > 0 ? std::min(ask->abandon_at, run.sent + limits.timeout) : ask->abandon_at;
   run.begin_by = limits.begin_by;
-  run.expected = limits.expected;
+  run.runs_for = limits.runs_for;
   trace(*ask, Step::decided, k, run.reads ? "prefill" : "decode");
   if (!run.reads && ask->state_run >= 0 && ask->runs[static_cast<std::size_t>(ask->state_run)]->holds_state)
     run.takes = ask->state_run;
@@ -353,6 +353,7 @@
       co_await releaser_.release_first(std::shared_ptr<HeldRequest>(ask, &ask->kv));
     if (!may_begin(*ask, run)) co_return end(*ask, k, Outcome::not_sent);
     // Noted before the first byte: a worker may hold something from then on.
+    run.write_began = loop_.now();
     if (!std::exchange(run.written, true))
       note_kv(*ask, run.reads ? HoldEvent::prefill_written : HoldEvent::decode_written, k);
     const io::Moved moved = co_await send_to(*ask, k, *lease);
@@ -371,7 +372,7 @@
       fault = co_await lease->reader->head(head);
     run.answered = fault != http::Fault::closed;
     if (run.answered) {
-      link.heard = loop_.now();
+      link.answered(run.write_began, loop_.now());
       trace(*ask, Step::answered, k);
     }
     fault == http::Fault::closed ? lease.lost() : lease.answered();  // what cannot be read came all the same
@@ -553,13 +554,11 @@
 // Where one release frees all that is held for a request, the releaser owns it.
 void Host::note_kv(Ask& ask, HoldEvent event, int k) {
   if (!manner_.one_release) return;
-  const Run* run = k < 0 ? nullptr : ask.runs[static_cast<std::size_t>(k)].get();
   const std::shared_ptr<Ask>& owner = asks_[static_cast<std::size_t>(ask.seq)];
-  io::Nanos at = 0;
-  if (event == HoldEvent::prefill_written) at = loop_.now() + run->expected;
-  if (event == HoldEvent::prefill_lost) at = run->deadline;
-  releaser_.note(std::shared_ptr<HeldRequest>(owner, &owner->kv), event, k, run == nullptr ? -1 : run->worker,
-                 at);
+  const std::shared_ptr<HeldRequest> request(owner, &owner->kv);
+  if (k < 0) return releaser_.note(request, event);
+  const Run& run = *ask.runs[static_cast<std::size_t>(k)];
+  releaser_.note_attempt(request, event, k, run.worker, run.runs_for);
 }
 
 void Host::trace(Ask& ask, Step step, int k, const char* detail, std::size_t bytes) {
--- a/router/host.h
+++ b/router/host.h
@@ -39,6 +39,8 @@
   std::size_t live() const { return live_; }
   // Whether KV cache is being released that nobody else will release, should this process end before.
   bool releasing() const { return releaser_.owes() || releaser_.telling(); }
+  // The process ends soon: releases that go on until more is known follow each other closely.
+  void hurry_releases() { releaser_.hurry(); }
   // The last steps of the requests in hand, to the log.
   void write_traces();
   core::Invariants& invariants() { return invariants_; }
@@ -68,9 +70,10 @@
     int takes{-1};       // a write: the read whose state it fetches
     std::string state;   // of a read, as its answer named it
     io::Nanos sent{};
+    io::Nanos write_began{};
     io::Nanos deadline{};
     io::Nanos begin_by{kNever};  // its request must have been written by then
-    io::Nanos expected{};        // how long it should take
+    io::Nanos runs_for{};        // so long it is taken as running
     io::Nanos first{};           // its first event; 0: none yet
     io::Nanos stood{-1};         // how long its connection had been kept unused; negative: a new one
     io::Nanos heard{};           // last whole event of its stream
--- a/router/kv_releaser.cpp
+++ b/router/kv_releaser.cpp
@@ -9,6 +9,15 @@
 
 constexpr io::Nanos kHeldSlack = 300 * io::kMs;  // that the rule allows past the limit
 
+// While the process ends: releases that go on until more is known follow each other so, and for so long at the most. SIGKILL
+// may come 3.7 s after SIGTERM.
+constexpr io::Nanos kHurriedPause = 100 * io::kMs;
+constexpr io::Nanos kHurriedFor = 3 * io::kSecond;
+
+// So many releases of a request are confirmed before one is sent to the worker of a lost attempt for its answer's sake: most
+// workers answer calls of other requests meanwhile.
+constexpr int kReleasesBeforeProof = 3;
+
 }  // namespace
 
 KvReleaser::KvReleaser(io::Loop& loop, Fleet& fleet, core::Log& log, core::Counters& counters,
@@ -25,11 +34,25 @@
       tasks_(loop),
       calls_(loop) {}
 
-void KvReleaser::note(const std::shared_ptr<HeldRequest>& request, HoldEvent event, int attempt, int worker,
-                      io::Nanos at) {
-  KvHold& hold = request->hold;
-  const HoldState before = hold.state();
-  const bool possible = hold.note(event, loop_.now(), at);
+void KvReleaser::note(const std::shared_ptr<HeldRequest>& request, HoldEvent event) {
+  const HoldState before = request->hold.state();
+  if (event == HoldEvent::request_over) request->over = true;
+  noted(request, event, before, request->hold.note(event, loop_.now()), -1, -1);
+}
+
+void KvReleaser::note_attempt(const std::shared_ptr<HeldRequest>& request, HoldEvent event, int attempt,
+                              int worker, io::Nanos runs_for) {
+  const HoldState before = request->hold.state();
+  const HoldWorker at{worker, fleet_.at(worker).identity};
+  if (event == HoldEvent::prefill_written) request->prefilled_at.push_back(at);
+  noted(request, event, before, request->hold.note_attempt(event, loop_.now(), attempt, at, runs_for),
+        attempt, worker);
+}
+
+// Logs and traces an event, and begins what follows from it.
+void KvReleaser::noted(const std::shared_ptr<HeldRequest>& request, HoldEvent event, HoldState before,
+                       bool possible, int attempt, int worker) {
+  const KvHold& hold = request->hold;
   request->trace.add({.at = loop_.now(),
                       .step = Step::kv_event,
                       .kv = hold.state(),
@@ -42,8 +65,6 @@
                {{"request", request->id}, {"state", word(before)}, {"event", word(event)}});
     traces_.write_all_the_same(request->id, request->trace, "transition not allowed");
   }
-  if (event == HoldEvent::prefill_written) request->prefilled_at.push_back(worker);
-  if (event == HoldEvent::request_over) request->over = true;
   if (!hold.release_comes_first()) request->settled.notify();
   if (request->releasing) return request->changed.notify();
   if ((request->over && hold.owed()) || hold.release_due() <= loop_.now()) return begin(request);
@@ -69,60 +90,108 @@
     due_.pop();
     if (!request) continue;
     request->due_at = kNever;
-    if (request->releasing || !request->hold.owed()) continue;
-    if (request->hold.release_due() > loop_.now()) {
-      watch(request);
-      continue;
-    }
-    if (request->hold.confirmed_until() != kNever)
-      traces_.write(request->id, request->trace, "held for most of its limit");
-    begin(request);
+    if (!request->releasing) look_at(request);
   }
 }
 
+void KvReleaser::look_at(const std::shared_ptr<HeldRequest>& request) {
+  gather_evidence(*request);
+  const KvHold& hold = request->hold;
+  if (!hold.owed()) return;
+  if (hold.release_due() > loop_.now()) return watch(request);
+  if (hold.state() == HoldState::held)
+    traces_.write(request->id, request->trace, "held for most of its limit");
+  begin(request);
+}
+
 void KvReleaser::begin(const std::shared_ptr<HeldRequest>& request) {
   request->releasing = true;
   releases_.push_back(request);
   tasks_.spawn(release(request));
 }
 
-// A worker that has not answered within the limit may never do so: the process does not wait for it.
+// A release that no worker has confirmed within the limit may never be: the process does not wait for it.
 bool KvReleaser::owes() const {
+  if (loop_.now() >= hurries_until_) return false;
   return std::ranges::any_of(releases_, [&](const auto& request) {
-    return request->hold.owed() && loop_.now() < request->hold.since() + limit_;
+    return request->hold.owed() && loop_.now() < request->hold.limit_ends();
   });
 }
 
+void KvReleaser::hurry() {
+  if (hurries_until_ == kNever) hurries_until_ = loop_.now() + kHurriedFor;
+  for (const auto& request : releases_) request->changed.notify();
+}
+
+// Evidence.
+
+const Link* KvReleaser::find(const HoldWorker& worker) const {
+  const Link* link = fleet_.find(worker.index);
+  return link != nullptr && link->identity == worker.identity ? link : nullptr;
+}
+
+// What calls of other requests have told of the workers of this one's attempts.
+void KvReleaser::gather_evidence(HeldRequest& request) {
+  std::vector<HoldWorker> awaited;
+  request.hold.each_awaited_worker([&](const HoldWorker& worker) { awaited.push_back(worker); });
+  for (const HoldWorker& worker : awaited) {
+    const Link* link = find(worker);
+    if (link == nullptr)
+      request.hold.worker_gone(worker.identity, loop_.now());
+    else
+      request.hold.worker_answered({worker.identity, link->answered_call, link->heard});
+  }
+}
+
+// Releases.
+
+io::Nanos KvReleaser::release_due(const HeldRequest& request) const {
+  const io::Nanos due = request.hold.release_due();
+  if (hurries_until_ == kNever || !request.over) return due;
+  return std::min(due, request.asked_at + kHurriedPause);
+}
+
 io::Task<> KvReleaser::release(std::shared_ptr<HeldRequest> request) {
-  KvHold& hold = request->hold;
+  const KvHold& hold = request->hold;
   while (hold.owed()) {
-    if (loop_.now() < hold.release_due()) {
+    gather_evidence(*request);
+    const io::Nanos due = release_due(*request);
+    if (loop_.now() < due) {
       if (!request->over) break;
-      co_await io::wait_until(loop_, request->changed, hold.release_due());
+      co_await io::wait_until(loop_, request->changed, due);
       continue;
     }
     const bool ordered = hold.wanted();  // by the decisions, which know of it
-    note(request, HoldEvent::release_asked, -1, -1);
+    request->asked_at = loop_.now();
+    note(request, HoldEvent::release_asked);
     counters_.release_asked();
-    const bool confirmed = co_await tell_until_confirmed(*request);
-    if (confirmed) {
-      note(request, HoldEvent::release_confirmed, -1, -1);
-      counters_.release_confirmed();
-      if (!request->over && !ordered) released_(*request);
+    const std::optional<io::Nanos> written = co_await tell_until_confirmed(*request);
+    if (written) {
+      confirmed(request, *written, ordered);
     } else if (hold.state() == HoldState::releasing) {
       counters_.release_given_up();
       traces_.write(request->id, request->trace, "no worker has confirmed a release");
-      break;
+      note(request, HoldEvent::release_given_up);
     }
   }
   request->releasing = false;
   std::erase(releases_, request);
-  if (hold.owed() && !request->over) watch(request);
+  if (hold.owed()) watch(request);
+}
+
+void KvReleaser::confirmed(const std::shared_ptr<HeldRequest>& request, io::Nanos written, bool ordered) {
+  const HoldState before = request->hold.state();
+  gather_evidence(*request);
+  ++request->releases_confirmed;
+  const bool nothing_to_take = request->hold.release_confirmed(written);
+  noted(request, HoldEvent::release_confirmed, before, true, -1, -1);
+  counters_.release_confirmed();
+  if (!request->over && !ordered && nothing_to_take) released_(*request);
 }
 
-// A rule is judged by what has been confirmed: that a worker holds something, and that one has released it.
+// A rule is judged by what has been confirmed: what may be held counts as held until a worker has released it.
 void KvReleaser::check_held(HeldRequest& request) {
-  const io::Nanos until = request.hold.confirmed_until();
+  const io::Nanos until = request.hold.limit_ends();
   if (request.violated || until == kNever) return;
   const io::Nanos passed_by = loop_.now() - until - kHeldSlack;
   if (passed_by <= 0) return;
@@ -133,11 +202,11 @@
 
 // Calls that are not answered soon stay open beside the next ones. Whatever makes the release needless, an answer of an
 // attempt among it, ends it.
-io::Task<bool> KvReleaser::tell_until_confirmed(HeldRequest& request) {
-  bool confirmed = false;
+io::Task<std::optional<io::Nanos>> KvReleaser::tell_until_confirmed(HeldRequest& request) {
+  std::optional<io::Nanos> confirmed;
   std::unordered_map<int, int> told;
   io::Scope calls(loop_);
-  const auto over = [&] { return confirmed || request.hold.state() != HoldState::releasing; };
+  const auto over = [&] { return confirmed.has_value() || request.hold.state() != HoldState::releasing; };
   const io::Nanos until = loop_.now() + kReleaseTriedFor;
   for (int made = 0; loop_.now() < until; ++made) {
     std::vector<ReleaseCandidate> workers = candidates(request);
@@ -148,48 +217,61 @@
       calls.spawn(tell(request, next.worker, needs_new_connection(next), confirmed));
     }
     const io::Nanos next_call = loop_.now() + pause_before_next_call(limit_, made);
-    const io::Nanos limit_at =
-        request.hold.since() + limit_;  // from then on the process does not wait for it
-    while (!over() && loop_.now() < next_call) {
-      const bool before_limit = loop_.now() < limit_at;
-      co_await io::wait_until(loop_, request.changed,
-                              before_limit ? std::min(next_call, limit_at) : next_call);
-    }
+    while (!over() && loop_.now() < next_call) co_await io::wait_until(loop_, request.changed, next_call);
     if (over()) co_return confirmed;
     check_held(request);
   }
-  co_return false;
+  co_return std::nullopt;
 }
 
-io::Task<> KvReleaser::tell(HeldRequest& request, int worker, bool on_new_connection, bool& confirmed) {
+io::Task<> KvReleaser::tell(HeldRequest& request, int worker, bool on_new_connection,
+                            std::optional<io::Nanos>& confirmed) {
   const Link& link = fleet_.at(worker);
+  const HoldWorker told{worker, link.identity};
   request.trace.add({.at = loop_.now(),
                      .step = Step::release_told,
                      .kv = request.hold.state(),
                      .worker = worker,
                      .detail = on_new_connection ? "new connection" : "any connection"});
   // Asked once a connection is there: what was held may have been taken meanwhile.
-  const std::function<bool()> still_wanted = [&] { return request.hold.state() == HoldState::releasing; };
+  io::Nanos written = 0;
+  const std::function<bool()> still_wanted = [&] {
+    written = loop_.now();
+    return request.hold.state() == HoldState::releasing;
+  };
   const auto answer = co_await io::within(
       loop_, loop_.now() + release_call_timeout(limit_),
       http::exchange(link.pool, request.talk->release(0, link.listed.address), still_wanted,
                      on_new_connection ? http::Reuse::never : http::Reuse::allowed));
   if (!answer || !answer->ok() || answer->head.status / 100 != 2) co_return;
-  if (fleet_.find(worker) != nullptr) fleet_.at(worker).heard = loop_.now();
+  if (find(told) != nullptr) fleet_.at(worker).answered(written, loop_.now());
   request.trace.add(
       {.at = loop_.now(), .step = Step::release_heard, .kv = request.hold.state(), .worker = worker});
-  confirmed = true;
+  confirmed = written;
   request.changed.notify();
 }
 
+// The ready workers, and those that hold something or may.
 std::vector<ReleaseCandidate> KvReleaser::candidates(const HeldRequest& request) const {
   std::vector<ReleaseCandidate> out;
-  for (const int worker : fleet_.ready()) out.push_back({worker, fleet_.at(worker).heard, 0});
-  for (const int worker : request.prefilled_at) {
-    const bool listed = std::ranges::any_of(out, [&](const auto& c) { return c.worker == worker; });
-    if (const Link* link = fleet_.find(worker); link != nullptr && !listed)
-      out.push_back({worker, link->heard, 0});
-  }
+  const auto add = [&](int worker) {
+    const Link& link = fleet_.at(worker);
+    const bool heard_lately = link.heard > 0 && loop_.now() - link.heard <= limit_;
+    return &out.emplace_back(ReleaseCandidate{
+        .worker = worker, .heard = link.heard, .connected = heard_lately && link.pool->has_rested()});
+  };
+  for (const int worker : fleet_.ready()) add(worker);
+  const auto candidate = [&](const HoldWorker& worker) {
+    const auto listed = std::ranges::find(out, worker.index, &ReleaseCandidate::worker);
+    return listed != out.end() ? &*listed : add(worker.index);
+  };
+  for (const HoldWorker& worker : request.prefilled_at)
+    if (find(worker) != nullptr) candidate(worker);
+  const bool wants_proof = hurries_until_ != kNever || request.releases_confirmed >= kReleasesBeforeProof;
+  if (!wants_proof) return out;
+  request.hold.each_awaited_worker([&](const HoldWorker& worker) {
+    if (find(worker) != nullptr) candidate(worker)->awaited = true;
+  });
   return out;
 }
 
--- a/router/kv_releaser.h
+++ b/router/kv_releaser.h
@@ -1,9 +1,10 @@
-// Owns what is held for requests at workers: keeps each request's KvHold, begins a release when that says so, and tells
-// workers until one has confirmed it.
+// Owns what is held for requests at workers: keeps each request's KvHold, begins a release when that says so, tells workers
+// until one has confirmed it, and gathers the evidence that ends the matter.
 #pragma once
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <string>
 #include <vector>
@@ -25,13 +26,15 @@
   std::unique_ptr<Talk> talk;
   KvHold hold;
   RequestTrace trace;
-  std::vector<int> prefilled_at;  // told of a release whatever the list says of them
-  bool over{};                    // it has its final answer, or its client has left
-  io::Nanos due_at{kNever};       // when its release is looked at next
-  bool releasing{};               // a task of the releaser has it
-  bool violated{};                // was counted as held too long
-  io::Signal changed;             // for that task,
-  io::Signal settled;             // and for an attempt that a release comes before
+  std::vector<HoldWorker> prefilled_at;  // told of a release whatever the list says of them
+  bool over{};                           // it has its final answer, or its client has left
+  io::Nanos due_at{kNever};              // when it is looked at next
+  io::Nanos asked_at{};                  // when its latest release began
+  int releases_confirmed{};
+  bool releasing{};    // a task of the releaser has it
+  bool violated{};     // was counted as held too long
+  io::Signal changed;  // for that task,
+  io::Signal settled;  // and for an attempt that a release comes before
 };
 
 class KvReleaser {
@@ -41,15 +44,18 @@
              core::Invariants& invariants, TraceWriter& traces, io::Nanos limit,
              std::function<void(HeldRequest&)> released);
 
-  // An event of that request, at this moment.
-  void note(const std::shared_ptr<HeldRequest>& request, HoldEvent event, int attempt, int worker,
-            io::Nanos at = 0);
+  // An event of that request, or of one of its attempts, at this moment.
+  void note(const std::shared_ptr<HeldRequest>& request, HoldEvent event);
+  void note_attempt(const std::shared_ptr<HeldRequest>& request, HoldEvent event, int attempt, int worker,
+                    io::Nanos runs_for);
   // Waits a moment for a release that is to come before a further prefill.
   io::Task<> release_first(std::shared_ptr<HeldRequest> request);
   // Begins what has become due. To be called some times within each limit while requests are in hand.
   void look();
-  // Whether this process still owes a release in time: nobody else will see to it, should it end before.
+  // Whether this process still owes a release: nobody else will see to it, should it end before.
   bool owes() const;
+  // The process ends soon: releases that go on until more is known follow each other closely, and are not owed for long.
+  void hurry();
 
   // Where each prefill's KV cache is released at its own worker: tells that one, some times.
   void release_at(int worker, std::string text);
@@ -61,13 +67,22 @@
   }
 
  private:
+  void noted(const std::shared_ptr<HeldRequest>& request, HoldEvent event, HoldState before, bool possible,
+             int attempt, int worker);
   void watch(const std::shared_ptr<HeldRequest>& request);
+  void look_at(const std::shared_ptr<HeldRequest>& request);
   void begin(const std::shared_ptr<HeldRequest>& request);
   void check_held(HeldRequest& request);
   io::Task<> release(std::shared_ptr<HeldRequest> request);
-  io::Task<bool> tell_until_confirmed(HeldRequest& request);
-  io::Task<> tell(HeldRequest& request, int worker, bool on_new_connection, bool& confirmed);
+  io::Nanos release_due(const HeldRequest& request) const;
+  void confirmed(const std::shared_ptr<HeldRequest>& request, io::Nanos written, bool ordered);
+  // When the release that a worker confirmed had been written; none where none did.
+  io::Task<std::optional<io::Nanos>> tell_until_confirmed(HeldRequest& request);
+  io::Task<> tell(HeldRequest& request, int worker, bool on_new_connection,
+                  std::optional<io::Nanos>& confirmed);
   std::vector<ReleaseCandidate> candidates(const HeldRequest& request) const;
+  const Link* find(const HoldWorker& worker) const;
+  void gather_evidence(HeldRequest& request);
   io::Task<> tell_at(std::shared_ptr<http::Pool> pool, std::string text);
 
   io::Loop& loop_;
@@ -87,6 +102,7 @@
   };
   std::priority_queue<Due, std::vector<Due>, Later> due_;  // the earliest first
   std::vector<std::shared_ptr<HeldRequest>> releases_;     // those that a task has
+  io::Nanos hurries_until_{kNever};
   io::Scope tasks_;
   io::Scope calls_;  // of release_at()
 };
--- a/src/kv_hold.cpp
+++ b/src/kv_hold.cpp
@@ -17,13 +17,14 @@
 // rule allows: 300 ms past the limit, less 150 ms for which the process may be held up, and 100 ms for some calls.
 constexpr Nanos kUnconfirmedDelay = (300 - 150 - 100) * kMs;
 
-// The end of a connection and a release go to two workers: where the release comes first, it frees nothing that the attempt
-// on that connection still waits for.
-constexpr Nanos kEndMayLag = 50 * kMs;
+constexpr Nanos kAtOnce = 0;
 
 // A further attempt mostly leaves at once, and its worker's answer starts the limit anew: no call is made beside it.
 constexpr Nanos further_attempt_wait(Nanos limit) { return limit / 40; }
 
+// What a worker has not done with an attempt that was lost so long ago, it will not do.
+constexpr Nanos kLostFor = 30'000 * kMs;
+
 }  // namespace
 
 const char* word(HoldState state) {
@@ -33,174 +34,205 @@
 
 const char* word(HoldEvent event) {
   static constexpr const char* words[] = {
-      "prefill_written", "prefill_refused", "prefill_done",    "prefill_failed", "prefill_lost",
-      "decode_written",  "decode_not_run",  "decode_answered", "decode_lost",    "decode_begun",
-      "cache_missing",   "release_wanted",  "request_over",    "release_asked",  "release_confirmed"};
+      "prefill_written", "prefill_refused", "prefill_done",      "prefill_failed",
+      "prefill_lost",    "decode_written",  "decode_not_run",    "decode_answered",
+      "decode_lost",     "decode_begun",    "cache_missing",     "release_wanted",
+      "request_over",    "release_asked",   "release_confirmed", "release_given_up"};
   return words[static_cast<int>(event)];
 }
 
-bool KvHold::note(HoldEvent event, Nanos now, Nanos at) {
-  switch (event) {
-    case HoldEvent::prefill_written:
-    case HoldEvent::prefill_refused:
-    case HoldEvent::prefill_done:
-    case HoldEvent::prefill_failed:
-    case HoldEvent::prefill_lost:
-      return prefill_event(event, now, at);
-    case HoldEvent::decode_written:
-    case HoldEvent::decode_not_run:
-    case HoldEvent::decode_answered:
-    case HoldEvent::decode_lost:
-    case HoldEvent::decode_begun:
-    case HoldEvent::cache_missing:
-      return decode_event(event, now);
-    case HoldEvent::release_wanted:
-    case HoldEvent::request_over:
-    case HoldEvent::release_asked:
-    case HoldEvent::release_confirmed:
-      return release_event(event, now);
-  }
-  return false;
-}
-
-Nanos KvHold::release_due() const {
-  if (state_ == HoldState::releasing) return since_;
-  if (!owed()) return kNever;
-  if (release_at_once_) return since_;
-  return std::min(last_moment(), wanted_moment());
+HoldState KvHold::state() const {
+  if (taken_) return HoldState::taken;
+  if (!may_be_held()) return release_.confirmed ? HoldState::released : HoldState::none;
+  if (release_.asked) return HoldState::releasing;
+  return evidence_.confirmed ? HoldState::held : HoldState::maybe_held;
 }
 
-Nanos KvHold::last_moment() const {
-  if (confirmed_) return since_ + limit_ - release_lead(limit_);
-  // A prefill that is expected to take long waits in a jam: it is as good as out until it is given up.
-  const bool merely_slow = !ended_ && expected_ > limit_ / 2;
-  return merely_slow ? kNever : since_ + limit_ + kUnconfirmedDelay;
+bool KvHold::may_be_held() const {
+  return evidence_.left || std::ranges::any_of(attempts_, &Attempt::prefill);
 }
 
-Nanos KvHold::wanted_moment() const {
-  if (wanted_at_ == kNever) return kNever;
-  return release_comes_first() ? wanted_at_ : wanted_at_ + further_attempt_wait(limit_);
-}
+// Events of attempts.
 
-// An attempt was out at a running worker until now: what is held may be held for the whole limit from here.
-void KvHold::restart(Nanos now) {
-  since_ = now;
-  ended_ = true;
-  if (state_ == HoldState::releasing && !over_) state_ = confirmed_ ? HoldState::held : HoldState::maybe_held;
-}
-
-// It may bring an answer soon; a release goes on only where the limit is near.
-void KvHold::attempt_written() {
-  if (std::exchange(wanted_at_, kNever) == kNever) return;
-  if (state_ == HoldState::releasing && !over_) state_ = confirmed_ ? HoldState::held : HoldState::maybe_held;
-}
-
-// What was held is gone, and with it what a prefill leaves that is under way. One that had not arrived may arrive yet; while
-// the request goes on, a further attempt's answer tells more than another release would.
-void KvHold::cleared(Nanos now) {
-  confirmed_ = lost_ = false;
-  ended_ = true;
-  wanted_at_ = kNever;
-  since_ = now;
-  const bool may_come = (over_ && (prefills_out_ > 0 || now < lost_until_)) || now < decode_lost_until_;
-  state_ = may_come ? HoldState::maybe_held : HoldState::released;
-}
-
-bool KvHold::prefill_event(HoldEvent event, Nanos now, Nanos at) {
-  if (event == HoldEvent::prefill_written) {
-    if (state_ == HoldState::taken) return false;
-    ++prefills_out_;
-    attempt_written();
-    if (!owed()) {
-      state_ = HoldState::maybe_held;
-      ended_ = false;
-      expected_ = at - now;
-      since_ = at;
-    }
+bool KvHold::note_attempt(HoldEvent event, Nanos now, int attempt, HoldWorker worker, Nanos runs_for) {
+  const bool of_prefill = event <= HoldEvent::prefill_lost;
+  if (event == HoldEvent::prefill_written || event == HoldEvent::decode_written) {
+    if (of_prefill && taken_) return false;
+    written({.number = attempt, .worker = worker, .prefill = of_prefill, .written = now}, runs_for);
     return true;
   }
-  if (prefills_out_ == 0) return false;
-  --prefills_out_;
-  if (state_ == HoldState::taken) {  // one of two that ran side by side
-    if (event == HoldEvent::prefill_lost) lost_until_ = std::max(lost_until_, at);
+  const auto ended =
+      std::ranges::find_if(attempts_, [attempt](const Attempt& a) { return a.number == attempt && !a.lost; });
+  if (ended == attempts_.end() || ended->prefill != of_prefill) return false;
+  if (event == HoldEvent::prefill_lost || event == HoldEvent::decode_lost) {
+    lost(*ended, now);
     return true;
   }
+  const Nanos attempt_written = ended->written;
+  attempts_.erase(ended);
+  return of_prefill ? prefill_ended(event, now) : decode_ended(event, now, attempt_written);
+}
+
+// Whether a prefill may have left something already that no release has freed.
+bool KvHold::may_be_left() const {
+  return evidence_.left ||
+         std::ranges::any_of(attempts_, [](const Attempt& a) { return a.prefill && !a.covered; });
+}
+
+// The limit counts from the moment at which a prefill is no longer taken as running. Later writes start nothing anew.
+void KvHold::written(const Attempt& attempt, Nanos runs_for) {
+  if (attempt.prefill && !may_be_left()) evidence_ = {.since = attempt.written + runs_for};
+  attempts_.push_back(attempt);
+  // It may bring an answer soon; a release goes on only where the limit is near.
+  const bool was_wanted = std::exchange(release_.wanted_at, kNever) != kNever;
+  if (was_wanted && !over_) release_.asked = false;
+}
+
+void KvHold::lost(Attempt& attempt, Nanos now) {
+  attempt.lost = true;
+  attempt.lost_at = now;
+  evidence_.since = std::min(evidence_.since, now);
+  if (attempt.prefill && !taken_) release_.prefill_lost = true;
+}
+
+bool KvHold::prefill_ended(HoldEvent event, Nanos now) {
   switch (event) {
-    case HoldEvent::prefill_refused:
-      if (state_ == HoldState::maybe_held && prefills_out_ == 0 && now >= lost_until_ && !confirmed_)
-        state_ = HoldState::none;
-      return true;
     case HoldEvent::prefill_done:
-      confirmed_ = ended_ = true;
-      lost_ = false;
-      state_ = over_ ? HoldState::releasing : HoldState::held;
-      since_ = now;
+      evidence_.confirmed = true;
+      release_.prefill_lost = false;
+      prefill_left(now);
       return true;
     case HoldEvent::prefill_failed:
-      if (!owed()) state_ = HoldState::maybe_held;
-      restart(now);
+      prefill_left(now);
       return true;
-    default:
-      lost_until_ = std::max(lost_until_, at);
-      if (state_ == HoldState::released) return true;  // a release meanwhile has covered it
-      lost_ = true;
-      state_ = owed() ? state_ : HoldState::maybe_held;
-      if (!std::exchange(ended_, true)) since_ = now;
+    default:  // refused: it has left nothing
+      if (!may_be_held()) release_.asked = false;
       return true;
   }
 }
 
-bool KvHold::decode_event(HoldEvent event, Nanos now) {
-  if (event == HoldEvent::decode_written) {
-    ++decodes_out_;
-    attempt_written();
-    return true;
-  }
-  if (decodes_out_ == 0) return false;
-  --decodes_out_;
+void KvHold::prefill_left(Nanos now) {
+  evidence_.left = true;
+  restart(now);
+  if (over_) release_.asked = true;
+}
+
+// An attempt was out at a running worker until now: what it left may be held for the whole limit from here.
+void KvHold::restart(Nanos now) {
+  evidence_.since = now;
+  if (!over_) release_.asked = false;
+}
+
+bool KvHold::decode_ended(HoldEvent event, Nanos now, Nanos attempt_written) {
   switch (event) {
     case HoldEvent::decode_begun:
-      state_ = HoldState::taken;
-      confirmed_ = false;
+      taken(now);
       return true;
     case HoldEvent::cache_missing:
-      if (state_ != HoldState::none && state_ != HoldState::taken) cleared(now);
+      freed(attempt_written);
       return true;
     case HoldEvent::decode_answered:
-    case HoldEvent::decode_lost:
-      if (event == HoldEvent::decode_lost) decode_lost_until_ = now + kEndMayLag;
-      // Workers keep what an attempt waits for: had it arrived, a release meanwhile has freed nothing.
-      if (state_ == HoldState::released) state_ = HoldState::maybe_held, since_ = now, ended_ = true;
-      if (owed() && event == HoldEvent::decode_answered) restart(now);
+      if (may_be_held()) restart(now);
       return true;
-    default:
+    default:  // it never left whole
       return true;
   }
 }
 
-bool KvHold::release_event(HoldEvent event, Nanos now) {
+// While the answer flows an attempt is out. What a prefill leaves that has not ended is released as the request is over.
+void KvHold::taken(Nanos now) {
+  std::erase_if(attempts_, [](const Attempt& a) { return !a.prefill; });
+  evidence_ = {.since = now};
+  release_.asked = false;
+  release_.wanted_at = kNever;
+  taken_ = !over_;
+}
+
+// Events of the request and of its release.
+
+bool KvHold::note(HoldEvent event, Nanos now) {
   switch (event) {
     case HoldEvent::release_wanted:
-      if (owed() && !over_) wanted_at_ = now;
+      if (owed() && !over_) release_.wanted_at = now;
       return true;
     case HoldEvent::request_over:
-      // What a lost prefill leaves behind the answer's beginning is nobody else's.
-      if (state_ == HoldState::taken && (prefills_out_ > 0 || now < lost_until_))
-        state_ = HoldState::maybe_held, since_ = now, ended_ = true;
       over_ = true;
-      release_at_once_ = owed();
+      // What has been taken is no more; and no prefill is taken as running for a request that needs none.
+      if (std::exchange(taken_, false) || evidence_.since > now) evidence_.since = now;
+      release_.at_once = owed();
       return true;
     case HoldEvent::release_asked:
       if (!owed()) return false;
-      state_ = HoldState::releasing;
-      release_at_once_ = false;
+      release_.asked = true;
+      release_.at_once = false;
       return true;
-    default:
-      if (state_ != HoldState::releasing)
-        return true;  // something newer is held, or the answer has begun meanwhile
-      cleared(now);
+    case HoldEvent::release_given_up:
+      attempts_.clear();
+      evidence_ = {};
+      release_.asked = false;
       return true;
+    default:
+      return false;
   }
 }
 
+bool KvHold::release_confirmed(Nanos written) {
+  if (taken_) return false;
+  const bool newer = evidence_.left && evidence_.since > written;
+  release_.confirmed = true;
+  freed(written);
+  return !newer;
+}
+
+// By a release that was written then, or before an attempt that was written then and found nothing. Nothing is left of attempts
+// that were over by then; those that were not may have waited for it, or arrive yet.
+void KvHold::freed(Nanos written) {
+  std::erase_if(attempts_, [written](const Attempt& a) {
+    return a.lost && std::min(a.over_from, a.lost_at + kLostFor) <= written;
+  });
+  for (Attempt& attempt : attempts_) attempt.covered |= attempt.lost && attempt.lost_at <= written;
+  release_.asked = release_.at_once = release_.prefill_lost = false;
+  release_.wanted_at = kNever;
+  if (evidence_.left && evidence_.since > written) return;  // left, or still waited for, since then
+  const bool may_have_waited = std::ranges::any_of(attempts_, [](const Attempt& a) { return !a.prefill; });
+  evidence_ = {.left = evidence_.left && may_have_waited, .since = std::max(evidence_.since, written)};
+}
+
+// Evidence by other calls to the same worker.
+
+void KvHold::worker_answered(const WorkerAnswer& answer) {
+  for (Attempt& attempt : attempts_) {
+    if (attempt.worker.identity != answer.identity) continue;
+    if (attempt.lost && answer.call_written >= attempt.lost_at) {
+      // Bytes that a link has lost are sent again after as long as it was silent at the most: not before the attempt's write.
+      const Nanos silent = answer.answered - attempt.written;
+      attempt.over_from = std::min(attempt.over_from, answer.answered + silent);
+    }
+  }
+}
+
+void KvHold::worker_gone(std::uint64_t identity, Nanos now) {
+  for (Attempt& attempt : attempts_)
+    if (attempt.lost && attempt.worker.identity == identity)
+      attempt.over_from = std::min(attempt.over_from, now);
+}
+
+// When a release is due.
+
+Nanos KvHold::release_due() const {
+  if (!owed()) return kNever;
+  if (release_.asked || release_.at_once) return kAtOnce;
+  return std::min(last_moment(), wanted_moment());
+}
+
+Nanos KvHold::last_moment() const {
+  const Nanos end = evidence_.since + limit_;
+  return evidence_.confirmed ? end - release_lead(limit_) : end + kUnconfirmedDelay;
+}
+
+Nanos KvHold::wanted_moment() const {
+  if (!wanted()) return kNever;
+  return release_comes_first() ? release_.wanted_at : release_.wanted_at + further_attempt_wait(limit_);
+}
+
 }  // namespace cressrill
--- a/src/kv_hold.h
+++ b/src/kv_hold.h
@@ -1,24 +1,52 @@
 // What the workers may hold of one request's KV cache, from what evidence that is known, and when it has to be released.
 // Free of I/O and clocks.
 //
-// A prefill leaves KV cache behind that a decode attempt takes or a release frees, within a limit. The limit's clock rests
-// while an attempt is out at a running worker, and starts anew with that attempt's outcome. Whether a request that was
-// written has arrived is known only from an answer; until then each rule takes the worse of both: it is not out for the
-// clock, and it may have run, so that a prefill may leave something behind, from the moment at which it should have ended.
-// A release frees nothing that a decode attempt which has arrived waits for, and whatever a prefill leaves that is under
-// way: an early one would cost a prefill that is merely slow.
+// A prefill leaves KV cache behind that a decode attempt takes or a release frees, within a limit that counts while no attempt
+// of the request is out at a running worker. This side sees writes, answers, closes and time-outs; none of them but an answer
+// tells what has happened at the worker, and each rule here takes the worse of what may have happened.
+//
+// What is evidence of what:
+//
+//   seen on this side              proves                                           does not prove
+//   a request was written          nothing                                          that it arrived: it stops no clock
+//   a prefill's learned time has   nothing; until then it is taken as running (see  that it has not ended before
+//   not passed                     runs_for below)
+//   a prefill was answered         it ended just now; KV cache is held, unless the  that no other prefill left any
+//                                  answer says that it never ran
+//   a decode attempt was answered  it was out until now: the limit starts anew      that what it waited for is gone
+//   a decode answer has begun      it has taken the KV cache                        that no prefill arrives later
+//   410 to a decode attempt        nothing was held when it came                    the same
+//   a connection was closed here   nothing                                          that its attempt has ended
+//   a time-out, a broken           nothing: the prefill may have ended at once      that it ends at all
+//   connection
+//   a release was confirmed        what no attempt waited for when the release      anything of attempts that arrive later,
+//                                  arrived is freed, and each prefill that was      or that waited then and end later
+//                                  under way leaves nothing
+//   the worker of a lost attempt   that attempt is over there                       -
+//   has answered a call made
+//   after its connection's end
+//   the worker is gone from the    its attempts are over
+//   list
+//
+// A confirmed release ends the matter only where each earlier attempt was known to be over when the release was written. Else
+// another one follows within the limit, until that is known, or for 30 s.
+//
+// A worker that hangs answers nothing, so that nothing of its attempts is taken as over: releases, which other workers confirm,
+// go on until it runs again and answers a call, or leaves the list.
 #pragma once
 
+#include <vector>
+
 #include "state.h"
 
 namespace cressrill {
 
 enum class HoldState {
   none,        // nothing can be held
-  maybe_held,  // a prefill was written whose end is not known
+  maybe_held,  // something may be held, and nobody said so
   held,        // a worker said that its prefill is done
   releasing,   // a release is asked for, and no worker has confirmed it
-  released,    // a worker has confirmed one
+  released,    // a worker has confirmed one, and no attempt is left that may hold anything
   taken,       // the answer has begun, so that decode has the KV cache
 };
 
@@ -36,63 +64,111 @@
   cache_missing,    // its worker answered that the KV cache is gone
   release_wanted,   // no attempt that is out needs what is held, and a further one may follow at once
   request_over,  // the request has its final answer, or its client has left, and no attempt needs what is held
-  release_asked,     // a release begins
-  release_confirmed  // a worker has answered it
+  release_asked,      // a release begins
+  release_confirmed,  // a worker has answered it (see release_confirmed())
+  release_given_up,   // none did for so long that whatever was held is lost with its worker
 };
 
 const char* word(HoldState state);
 const char* word(HoldEvent event);
 
+// A worker as the attempts of a request know it. Indices are used again once a worker is forgotten; identities are not.
+struct HoldWorker {
+  int index{-1};
+  std::uint64_t identity{};
+};
+
+// That a worker answered a call, of whatever request.
+struct WorkerAnswer {
+  std::uint64_t identity{};
+  Nanos call_written{};
+  Nanos answered{};
+};
+
 class KvHold {
  public:
   // How long KV cache may be held, by the settings.
   explicit KvHold(Nanos limit) : limit_(limit) {}
 
-  // Takes an event. at: of prefill_written, when the prefill is expected to end; of prefill_lost, until when the worker was
-  // told that it is waited for. False where the event is not possible in this state, which is left as it is then: a defect.
-  bool note(HoldEvent event, Nanos now, Nanos at = 0);
+  // Takes an event of an attempt. runs_for: so long a prefill that is written is taken as running, by what is known of its
+  // worker, as an early release would cost one that is merely slow. False where the event is not possible in this state, which
+  // is left as it is then: a defect.
+  bool note_attempt(HoldEvent event, Nanos now, int attempt, HoldWorker worker = {}, Nanos runs_for = 0);
+  // Takes an event of the request or of its release.
+  bool note(HoldEvent event, Nanos now);
+  // A worker has confirmed a release that was about to leave at that moment.
+  bool release_confirmed(Nanos written);
+  // Evidence of an attempt that its own connection does not give.
+  void worker_answered(const WorkerAnswer& answer);
+  void worker_gone(std::uint64_t identity, Nanos now);
 
-  HoldState state() const { return state_; }
+  HoldState state() const;
   // Whether something may be held that nobody else will take or release.
-  bool owed() const {
-    return state_ == HoldState::maybe_held || state_ == HoldState::held || state_ == HoldState::releasing;
-  }
+  bool owed() const { return !taken_ && may_be_held(); }
   // From when on the limit counts, at the worst.
-  Nanos since() const { return since_; }
+  Nanos since() const { return evidence_.since; }
   // When a release is to begin; kNever where none is.
   Nanos release_due() const;
   // Whether a release is to be tried before a further prefill is written: it would void that one's result as well.
-  bool release_comes_first() const { return lost_ && !over_ && wanted_at_ != kNever && owed(); }
+  bool release_comes_first() const { return release_.prefill_lost && !over_ && wanted() && owed(); }
   // Whether a release was wanted, and no attempt has been written since.
-  bool wanted() const { return wanted_at_ != kNever; }
-  // Where a worker has confirmed that something is held, and none that it is released: the last moment of the limit.
-  Nanos confirmed_until() const { return owed() && confirmed_ ? since_ + limit_ : kNever; }
-  Nanos limit() const { return limit_; }
+  bool wanted() const { return release_.wanted_at != kNever; }
+  // The last moment of the limit; kNever where nothing is owed.
+  Nanos limit_ends() const { return owed() ? evidence_.since + limit_ : kNever; }
+  // Calls take(worker) with the worker of each lost attempt that is not known to be over: its next answer would prove it.
+  template <class Take>
+  void each_awaited_worker(Take take) const {
+    for (const Attempt& attempt : attempts_)
+      if (attempt.lost && attempt.over_from == kNever) take(attempt.worker);
+  }
 
  private:
-  bool prefill_event(HoldEvent event, Nanos now, Nanos at);
-  bool decode_event(HoldEvent event, Nanos now);
-  bool release_event(HoldEvent event, Nanos now);
-  void attempt_written();
+  struct Attempt {
+    int number{};
+    HoldWorker worker;
+    bool prefill{};
+    Nanos written{};
+    Nanos
+        running_until{};  // of a prefill: not taken as ended before, once its worker has shown that the link is up
+    bool lost{};          // not waited for any more
+    Nanos lost_at{};          // when its connection ended
+    Nanos over_from{kNever};  // known to be over at its worker from then on
+    bool covered{};  // a release was confirmed after it was lost: what it leaves can only come from now on
+  };
+  // What is known of KV cache itself.
+  struct Evidence {
+    bool left{};       // a prefill that has ended may have left some
+    bool confirmed{};  // a worker said that it holds some, and none that it released it
+    Nanos since{kNever};
+  };
+  // The release that is asked for, or is to be.
+  struct Release {
+    bool asked{};
+    bool at_once{};       // as the request is over
+    bool prefill_lost{};  // a prefill was lost, and none was confirmed since
+    bool confirmed{};     // one was, ever
+    Nanos wanted_at{kNever};
+  };
+  void written(const Attempt& attempt, Nanos runs_for);
+  void lost(Attempt& attempt, Nanos now);
+  bool prefill_ended(HoldEvent event, Nanos now);
+  bool decode_ended(HoldEvent event, Nanos now, Nanos attempt_written);
+  bool may_be_held() const;
+  bool may_be_left() const;
+  void prefill_left(Nanos now);
+  void taken(Nanos now);
+  void freed(Nanos release_written);
+  void restart(Nanos now);
   Nanos last_moment() const;
   Nanos wanted_moment() const;
-  void restart(Nanos now);
-  void cleared(Nanos now);
 
   Nanos limit_;
-  HoldState state_{HoldState::none};
-  Nanos since_{};
-  bool confirmed_{};         // a worker said that it holds something
-  bool ended_{};             // since_ is the end of an attempt; else the expected end of a first prefill
-  bool lost_{};              // a prefill was lost, and no release was confirmed since
-  Nanos expected_{};         // how long that first prefill should take
-  bool over_{};              // the request needs nothing any more:
-  Nanos wanted_at_{kNever};  // a release was wanted, and no attempt has been written since
-  bool release_at_once_{};   // a release has not begun since then
-  int prefills_out_{};       // written, and their ends not known
-  int decodes_out_{};
-  Nanos decode_lost_until_{};  // one that is not waited for may still wait for what is held until then
-  Nanos lost_until_{};         // a prefill that is not waited for may still run until then
+  std::vector<Attempt>
+      attempts_;  // written, and not known to be over when a release was written that was confirmed
+  Evidence evidence_;
+  Release release_;
+  bool taken_{};  // decode has what was held, and the request is not over
+  bool over_{};   // the request needs nothing any more
 };
 
 }  // namespace cressrill
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -169,8 +169,8 @@
     watch(a.worker);
     if (outcome == Outcome::read_done) read_ended(q, a, w, took, kept);
     // What was late would have taken so long at least: unlearned, time-outs stay too short in a jam.
-    if (outcome == Outcome::timed_out) smooth(a.reads ? s_.read_wait : s_.first_wait, seconds(took));
-    if (outcome == Outcome::timed_out && a.reads) learn(w, a.ahead + a.tokens, seconds(took));
+    if (outcome == Outcome::timed_out && !a.reads) smooth(s_.first_wait, seconds(took));
+    if (outcome == Outcome::timed_out && a.reads) learn_late_read(a, w, seconds(took));
     if (outcome == Outcome::error || outcome == Outcome::timed_out || outcome == Outcome::connection_lost ||
         outcome == Outcome::cancelled)
       (a.reads ? a.stray : q.maybe_ran) = true;
@@ -194,7 +194,7 @@
     now_ = now;
     Sequence& q = unparked(seq);
     state_gone(q);
-    if (q.stage == Stage::reading) stop_asking(q);
+    if (q.stage == Stage::reading) learn_from_voided(q), stop_asking(q);
     if (q.stage == Stage::reading || q.stage == Stage::read) enter(q, Stage::waiting);
     run();
   }
@@ -624,6 +624,15 @@
     const double k = decay(now_ - l.at), xx = tokens * tokens, xt = tokens * took;
     s_.line = {l.n * k + 1, l.x * k + tokens, l.t * k + took, l.xx * k + xx, l.xt * k + xt, now_};
   }
+  void learn_late_read(const Attempt& a, Worker& w, double took) {
+    smooth(s_.read_wait, took);
+    learn(w, a.ahead + a.tokens, took);
+  }
+  // A release has voided them; they would have taken so long at least.
+  void learn_from_voided(const Sequence& q) {
+    for (const Attempt& a : q.attempts)
+      if (a.reads && unanswered(a)) learn_late_read(a, at(a.worker), seconds(now_ - a.sent));
+  }
   double per_token() const {
     const Line& l = s_.line;  // two points ahead of the answers: nothing at once, kPriorTokens at kFirstRate
     const double n = l.n + 2, x = l.x + kPriorTokens, t = l.t + kPriorTokens / kFirstRate;
@@ -807,7 +816,9 @@
     watch(worker);
     q.attempts.push_back(a);
     const bool last = static_cast<int>(q.attempts.size()) + (reads ? 2 : 1) > d_.attempts_cap;
-    out_.send(q.id, worker, {last ? 0 : late_after(a), a.expected, begin_by});
+    // Rule 5 at its strictest for requests that may not be repeated: such a read may have ended as soon as it was sent.
+    const Nanos runs_for = type(q).effect == Effect::once_only ? 0 : a.expected;
+    out_.send(q.id, worker, {last ? 0 : late_after(a), runs_for, begin_by});
   }
 
   // The holder table.
--- a/src/policy.h
+++ b/src/policy.h
@@ -12,8 +12,8 @@
 
 // The times that bound one attempt.
 struct AttemptLimits {
-  Nanos timeout{};         // after its decision; 0: until the client gives up
-  Nanos expected{};        // how long it should take, by what is known of its worker
+  Nanos timeout{};   // after its decision; 0: until the client gives up
+  Nanos runs_for{};  // so long it is taken as running, by what is known of its worker; 0: it may end at once
   Nanos begin_by{kNever};  // its request must have been written by then: a repeat is not recognised later
 };
 
--- a/src/release_plan.cpp
+++ b/src/release_plan.cpp
@@ -15,7 +15,10 @@
 
 const ReleaseCandidate& next_to_tell(const std::vector<ReleaseCandidate>& candidates) {
   return *std::ranges::min_element(candidates, [](const ReleaseCandidate& a, const ReleaseCandidate& b) {
-    return a.told != b.told ? a.told < b.told : a.heard > b.heard;
+    if (a.told != b.told) return a.told < b.told;
+    if (a.awaited != b.awaited) return a.awaited;
+    if (a.connected != b.connected) return a.connected;
+    return a.heard > b.heard;
   });
 }
 
