--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -816,9 +816,7 @@
     watch(worker);
     q.attempts.push_back(a);
     const bool last = static_cast<int>(q.attempts.size()) + (reads ? 2 : 1) > d_.attempts_cap;
-    // Rule 5 at its strictest for requests that may not be repeated: such a read may have ended as soon as it was sent.
-    const Nanos runs_for = type(q).effect == Effect::once_only ? 0 : a.expected;
-    out_.send(q.id, worker, {last ? 0 : late_after(a), runs_for, begin_by});
+    out_.send(q.id, worker, {last ? 0 : late_after(a), runs_for(q, a), begin_by});
   }
 
   // The holder table.
@@ -883,6 +881,12 @@
     s_.in_flight += flies(stage) - flies(q.stage);
     q.stage = stage;
   }
+  // Rule 5: for so long a read is taken as running and its state as not there yet. In a jam until it is late, as letting go of
+  // it would void it, and the reads that are made in its place lengthen the jam; not at all where the request may not be repeated.
+  Nanos runs_for(const Sequence& q, const Attempt& a) const {
+    if (type(q).effect == Effect::once_only) return 0;
+    return a.expected > d_.pin_limit / 2 ? late_after(a) : a.expected;
+  }
   Nanos late_after(const Attempt& a) const { return kGrace + nanos(kLate * seconds(a.expected)); }
   bool open(const Sequence& q) const { return q.stage != Stage::streaming && q.stage != Stage::over; }
   bool listed(const Worker& w) const { return w.known && w.standing == Standing::ready; }
