--- a/rig/soak/clients.cpp
+++ b/rig/soak/clients.cpp
@@ -59,12 +59,16 @@
   const std::string id = fmt::format("c{}", ++next_id_), kind = kKinds[between(0, 3)];
   const int budget_ms = between(400, 3000);
   const std::string text = request(id, kind, budget_ms);
+  const io::Nanos began = loop_.fresh_now();
   if (!co_await write(socket, text, between(0, 19) == 0)) {
     co_return false;  // the router ended the connection first: it is sent elsewhere, under a new id
   }
-  record_.note(
-      "sent",
-      {{"id", id}, {"kind", kind}, {"budget_ms", budget_ms}, {"router", door.router}, {"first", first}});
+  record_.note("sent", {{"id", id},
+                        {"kind", kind},
+                        {"budget_ms", budget_ms},
+                        {"router", door.router},
+                        {"first", first},
+                        {"began", began}});
   const bool leaves = between(0, 11) == 0;
   const io::Nanos until = loop_.now() + (leaves ? between(1, 400) * kMs : 9 * io::kSecond);
   const auto whole = co_await io::within(loop_, until, read_answer(reader, id, first));
