--- a/tests/held_state_test.cpp
+++ b/tests/held_state_test.cpp
@@ -6,8 +6,12 @@
 // Second kind: a decode attempt arrives at its worker, and its link falls silent; the router gives the attempt up and sends
 // releases, which other workers confirm; they free nothing, as the decode worker still waits for the KV cache; the end of the
 // attempt reaches the decode worker later, and no release is sent after that.
-// Cause: an event on the router's side (a write, a close, a time-out, a confirmed release) stood for the end of an attempt at
-// another machine.
+// Third kind: parallel prefills are out, and the request of one waits on a silent link; the other one's KV cache is taken; the
+// link passes again, and the first prefill ends as well; the router sends no release, as it takes the stream that has begun for
+// an attempt that is still out, while its end was lost.
+// Fourth kind: an answer reaches the router long after its attempt ended at the worker, and the limit counts anew from there.
+// Cause: an event on the router's side (a write, a close, a time-out, a confirmed release, the begin of an answer, its arrival)
+// stood for what happened to an attempt at another machine.
 // Evidence: records of workers in which each release was heard before the attempt's connection ended there, and none after;
 // records in which a prefill's end and the first release lie further apart than the limit, beside the router's trace of that
 // request, which says "maybe_held" throughout.
@@ -22,6 +26,29 @@
 // Ends at the worker after so long without a word to the router.
 Act answer_lost(io::Nanos after) { return {"", Act::Then::hold, after, false, true}; }
 Act ends_silently(io::Nanos after) { return {"", Act::Then::abandon, after}; }
+// Begins its answer, and its end is lost.
+Act stream_end_lost() {
+  return {.text = Worker::stream_head() + Worker::framed(Worker::event(0)),
+          .then = Act::Then::abandon,
+          .after = 20 * kMs,
+          .takes = true};
+}
+// The answer is under way for so long.
+Act prefill_answer_late(io::Nanos behind) {
+  return {.text = "",
+          .after = 20 * kMs,
+          .usual = false,
+          .leaves = true,
+          .later = http::response_text(202, "", "{\"cached_tokens\":128}", true),
+          .behind = behind};
+}
+Act refusal_late(io::Nanos behind) {
+  return {.text = "",
+          .then = Act::Then::abandon,
+          .after = 20 * kMs,
+          .later = http::response_text(503, "X-Rejected: 1\r\n", "", true),
+          .behind = behind};
+}
 Act slow(io::Nanos after) { return {"", Act::Then::keep, after, true}; }
 
 void act(Site& s, bool reads, const Act& act, std::size_t times = 20) {
@@ -171,4 +198,50 @@
   }
 }
 
+TEST_CASE(
+    "a prefill that ends after another one's KV cache was taken, while the end of the stream is lost: what "
+    "it "
+    "left is released within the limit") {
+  for (const int limit_ms : {300, 500, 1000}) {
+    CAPTURE(limit_ms);
+    Site s(2, 2, with_limit(limit_ms, true, false));
+    warm(s);
+    act(s, false, stream_end_lost());
+    s.worker("reader-0").cut = true;
+    HoldWatch watch(s, While::unattended);
+    send_some(s, 4, "4800");
+    s.pass(400);
+    s.worker("reader-0").cut = false;
+    s.pass(2500);
+    nothing_is_left(s, watch, limit_ms);
+    CHECK(s.node->host().invariants().violations() == 0);
+  }
+}
+
+TEST_CASE("the limit counts from the end of an attempt at its worker, however late its answer arrives") {
+  for (const int limit_ms : {300, 500, 1000})
+    for (const int percent : {50, 95}) {
+      const io::Nanos behind = limit_ms * kMs * percent / 100;
+      CAPTURE(limit_ms);
+      CAPTURE(percent);
+      Site s(2, 2, with_limit(limit_ms, false, false));
+      warm(s);
+      HoldWatch watch(s, While::unattended);
+      SUBCASE("a prefill, and the links to decode workers are silent") {
+        act(s, true, prefill_answer_late(behind));
+        cut(s, false);
+      }
+      SUBCASE("a decode attempt that is refused, and the links to decode workers fall silent") {
+        act(s, false, refusal_late(behind));
+        send_some(s, 4, "4800");
+        s.pass(60);
+        cut(s, false);
+        s.pass(behind / kMs);
+      }
+      send_some(s, 4, "4800");
+      s.pass(3 * limit_ms);
+      check_held(watch, limit_ms * kMs);
+    }
+}
+
 }  // namespace cressrill::testing
--- a/tests/kv_hold_test.cpp
+++ b/tests/kv_hold_test.cpp
@@ -253,6 +253,52 @@
   CHECK(hold.release_due() <= 400 * kMs);
 }
 
+TEST_CASE("a begun answer ends no other attempt: what one leaves later is released while the answer flows") {
+  KvHold hold = prefill_out();
+  CHECK(hold.note_attempt(Event::prefill_written, 10 * kMs, 1, {2, 102}));
+  CHECK(hold.note_attempt(Event::prefill_done, 50 * kMs, 1));
+  CHECK(hold.note_attempt(Event::decode_written, 60 * kMs, 2, kDecodeWorker));
+  CHECK(hold.note_attempt(Event::decode_written, 70 * kMs, 3, {3, 103}));
+  CHECK(hold.note_attempt(Event::decode_begun, 90 * kMs, 2));
+  SUBCASE("a prefill is done") {
+    CHECK(hold.note_attempt(Event::prefill_done, 300 * kMs, 0));
+    CHECK(hold.state() == HoldState::held);
+    CHECK(hold.release_due() < 300 * kMs + kMost);
+    CHECK(hold.note_attempt(Event::decode_lost, 400 * kMs, 3));
+    hold.worker_answered({103, 410 * kMs, 420 * kMs});
+    release(hold, 1000 * kMs);
+    CHECK(hold.state() == HoldState::taken);
+    CHECK(hold.release_due() == kNever);
+    CHECK(hold.note(Event::request_over, 2000 * kMs));
+    CHECK(hold.release_due() == kNever);
+  }
+  SUBCASE("a prefill is lost") {
+    CHECK(hold.note_attempt(Event::prefill_lost, 300 * kMs, 0));
+    CHECK(hold.release_due() < 300 * kMs + kMost);
+  }
+  SUBCASE("a prefill stays out: it may have ended") { CHECK(hold.release_due() < 90 * kMs + kMost); }
+  SUBCASE("another decode attempt is lost") { CHECK(hold.note_attempt(Event::decode_lost, 300 * kMs, 3)); }
+  SUBCASE("another decode attempt is answered") {
+    CHECK(hold.note_attempt(Event::decode_answered, 300 * kMs, 3));
+  }
+}
+
+TEST_CASE("an answer may have been under way for long: it moves the limit by a moment at the most") {
+  SUBCASE("of a prefill") {
+    KvHold hold = prefill_out();
+    CHECK(hold.note_attempt(Event::prefill_done, 950 * kMs, 0));
+    CHECK(hold.release_due() > 950 * kMs);  // for a decode attempt that follows at once
+    CHECK(hold.release_due() < kMost);
+  }
+  SUBCASE("of a decode attempt that waited when the latest release arrived") {
+    KvHold hold = decode_out();
+    release(hold, 800 * kMs);
+    CHECK(hold.note_attempt(Event::decode_answered, 1780 * kMs, 1));
+    CHECK(hold.release_due() > 1780 * kMs);
+    CHECK(hold.release_due() < 800 * kMs + kMost);
+  }
+}
+
 TEST_CASE("who is told: the one heard of last, then each of the others, then again on new connections") {
   std::vector<ReleaseCandidate> workers{{0, 10, 0}, {1, 30, 0}, {2, 20, 0}};
   std::string order;
--- a/tests/site.h
+++ b/tests/site.h
@@ -19,7 +19,8 @@
 
 // What a worker does with a request, where it is not the usual.
 struct Act {
-  // abandon: the attempt is over at the worker, and its connection, which stays open, tells nothing of it.
+  // abandon: the attempt is over at the worker once it has sent its text, and its connection, which stays open, tells
+  // nothing of it; a later text was under way meanwhile.
   enum class Then { keep, close, reset, hold, abandon };
   std::string text;  // sent in place of an answer
   Then then{Then::keep};
@@ -28,6 +29,7 @@
   bool leaves{};        // a state stays here before that
   std::string later{};  // sent so long behind the text:
   io::Nanos behind{50 * kMs};
+  bool takes{};  // what is held for the request is taken before the text
 };
 
 // A worker that says full to all that is sent, each time after 30 ms.
@@ -161,12 +163,13 @@
         continue;
       }
       if (act.leaves) leave_state(id, releases);
+      if (act.takes) states_.erase(id);
       co_await s.write_all(act.text);
+      if (act.then == Act::Then::abandon) awaits.end(), in_hand.end();
       if (!act.later.empty()) {
         co_await loop_.sleep_for(act.behind);
         co_await s.write_all(act.later);
       }
-      if (act.then == Act::Then::abandon) awaits.end(), in_hand.end();
       if (act.then == Act::Then::hold || act.then == Act::Then::abandon)
         co_await loop_.sleep_for(600 * io::kSecond);
       if (act.then == Act::Then::reset) s.close(true);
