The limit counts from the earliest end of an attempt at its worker; a begun answer ends no other attempt

An answer may have been under way for long, so it moves the limit by 100 ms at the most, in which a further attempt can follow. Once decode has the KV cache, the request's other attempts are still followed, and what one leaves is released while the answer flows. Tests that held the defect (the limit starts anew from an answer's arrival) are replaced by stricter ones.

--- a/src/kv_hold.cpp
+++ b/src/kv_hold.cpp
@@ -22,6 +22,9 @@
 // A further attempt mostly leaves at once, and its worker's answer starts the limit anew: no call is made beside it.
 constexpr Nanos further_attempt_wait(Nanos limit) { return limit / 40; }
 
+// And so long is an attempt waited for that follows an answer, should the limit end meanwhile: for a connection and a write.
+constexpr Nanos kAfterAnswer = 100 * kMs;
+
 // What a worker has not done with an attempt that was lost so long ago, it will not do.
 constexpr Nanos kLostFor = 30'000 * kMs;
 
@@ -42,10 +45,11 @@
 }
 
 HoldState KvHold::state() const {
+  if (owed() && release_.asked) return HoldState::releasing;
+  if (owed() && evidence_.confirmed) return HoldState::held;
   if (taken_) return HoldState::taken;
-  if (!may_be_held()) return release_.confirmed ? HoldState::released : HoldState::none;
-  if (release_.asked) return HoldState::releasing;
-  return evidence_.confirmed ? HoldState::held : HoldState::maybe_held;
+  if (owed()) return HoldState::maybe_held;
+  return release_.confirmed ? HoldState::released : HoldState::none;
 }
 
 bool KvHold::may_be_held() const {
@@ -113,36 +117,40 @@
 
 void KvHold::prefill_left(Nanos now) {
   evidence_.left = true;
-  restart(now);
+  evidence_.since = std::min(evidence_.since, now);
+  answered(now);
   if (over_) release_.asked = true;
+  if (taken_) release_.at_once = true;
 }
 
-// An attempt was out at a running worker until now: what it left may be held for the whole limit from here.
-void KvHold::restart(Nanos now) {
-  evidence_.since = now;
+// An attempt has ended at some time before now: the limit is not moved, as its answer may have been under way for long.
+void KvHold::answered(Nanos now) {
+  evidence_.heard = now;
   if (!over_) release_.asked = false;
 }
 
 bool KvHold::decode_ended(HoldEvent event, Nanos now, Nanos attempt_written) {
   switch (event) {
     case HoldEvent::decode_begun:
-      taken(now);
+      taken(attempt_written);
       return true;
     case HoldEvent::cache_missing:
       freed(attempt_written);
       return true;
     case HoldEvent::decode_answered:
-      if (may_be_held()) restart(now);
+      if (may_be_held()) answered(now);
       return true;
     default:  // it never left whole
       return true;
   }
 }
 
-// While the answer flows an attempt is out. What a prefill leaves that has not ended is released as the request is over.
-void KvHold::taken(Nanos now) {
-  std::erase_if(attempts_, [](const Attempt& a) { return !a.prefill; });
-  evidence_ = {.since = now};
+// By a decode attempt that was written then, and has taken what was held as its answer began. The request's other attempts go on:
+// a prefill that is not over may leave something that nobody takes, and one whose answer came meanwhile may have ended later.
+void KvHold::taken(Nanos attempt_written) {
+  evidence_ = {.left = evidence_.heard > attempt_written,
+               .since = std::max(evidence_.since, attempt_written),
+               .heard = evidence_.heard};
   release_.asked = false;
   release_.wanted_at = kNever;
   taken_ = !over_;
@@ -157,8 +165,9 @@
       return true;
     case HoldEvent::request_over:
       over_ = true;
-      // What has been taken is no more; and no prefill is taken as running for a request that needs none.
-      if (std::exchange(taken_, false) || evidence_.since > now) evidence_.since = now;
+      taken_ = false;
+      // No prefill is taken as running for a request that needs none.
+      evidence_.since = std::min(evidence_.since, now);
       release_.at_once = owed();
       return true;
     case HoldEvent::release_asked:
@@ -177,11 +186,10 @@
 }
 
 bool KvHold::release_confirmed(Nanos written) {
-  if (taken_) return false;
-  const bool newer = evidence_.left && evidence_.since > written;
+  const bool newer = evidence_.left && evidence_.heard > written;
   release_.confirmed = true;
   freed(written);
-  return !newer;
+  return !newer && !taken_;
 }
 
 // By a release that was written then, or before an attempt that was written then and found nothing. Nothing is left of attempts
@@ -193,9 +201,12 @@
   for (Attempt& attempt : attempts_) attempt.covered |= attempt.lost && attempt.lost_at <= written;
   release_.asked = release_.at_once = release_.prefill_lost = false;
   release_.wanted_at = kNever;
-  if (evidence_.left && evidence_.since > written) return;  // left, or still waited for, since then
+  evidence_.since = std::max(evidence_.since, written);
+  if (evidence_.heard > written)
+    return;  // what an attempt left, or waited for, that may have ended since then
   const bool may_have_waited = std::ranges::any_of(attempts_, [](const Attempt& a) { return !a.prefill; });
-  evidence_ = {.left = evidence_.left && may_have_waited, .since = std::max(evidence_.since, written)};
+  evidence_.left &= may_have_waited;
+  evidence_.confirmed = false;
 }
 
 // Evidence by other calls to the same worker.
@@ -227,7 +238,8 @@
 
 Nanos KvHold::last_moment() const {
   const Nanos end = evidence_.since + limit_;
-  return evidence_.confirmed ? end - release_lead(limit_) : end + kUnconfirmedDelay;
+  const Nanos due = evidence_.confirmed ? end - release_lead(limit_) : end + kUnconfirmedDelay;
+  return std::max(due, evidence_.heard + kAfterAnswer);
 }
 
 Nanos KvHold::wanted_moment() const {
--- a/src/kv_hold.h
+++ b/src/kv_hold.h
@@ -11,10 +11,11 @@
 //   a request was written          nothing                                          that it arrived: it stops no clock
 //   a prefill's learned time has   nothing; until then it is taken as running (see  that it has not ended before
 //   not passed                     runs_for below)
-//   a prefill was answered         it ended just now; KV cache is held, unless the  that no other prefill left any
-//                                  answer says that it never ran
-//   a decode attempt was answered  it was out until now: the limit starts anew      that what it waited for is gone
-//   a decode answer has begun      it has taken the KV cache                        that no prefill arrives later
+//   a prefill was answered         it has ended, and KV cache is held, unless the    that it ended just now: its answer may
+//                                  answer says that it never ran                    have been under way; anything of others
+//   a decode attempt was answered  it has ended                                     the same; that what it waited for is gone
+//   a decode answer has begun      it has taken what was held when it began         that it is still out; that no prefill ends
+//                                                                                   later; anything of others
 //   410 to a decode attempt        nothing was held when it came                    the same
 //   a connection was closed here   nothing                                          that its attempt has ended
 //   a time-out, a broken           nothing: the prefill may have ended at once      that it ends at all
@@ -28,6 +29,8 @@
 //   the worker is gone from the    its attempts are over
 //   list
 //
+// So no answer moves the limit, but for a moment in which a further attempt can follow it.
+//
 // A confirmed release ends the matter only where each earlier attempt was known to be over when the release was written. Else
 // another one follows within the limit, until that is known, or for 30 s.
 //
@@ -47,7 +50,7 @@
   held,        // a worker said that its prefill is done
   releasing,   // a release is asked for, and no worker has confirmed it
   released,    // a worker has confirmed one, and no attempt is left that may hold anything
-  taken,       // the answer has begun, so that decode has the KV cache
+  taken,       // the answer has begun, so that decode has the KV cache, and nobody said that more is held
 };
 
 enum class HoldEvent {
@@ -104,7 +107,7 @@
 
   HoldState state() const;
   // Whether something may be held that nobody else will take or release.
-  bool owed() const { return !taken_ && may_be_held(); }
+  bool owed() const { return may_be_held(); }
   // From when on the limit counts, at the worst.
   Nanos since() const { return evidence_.since; }
   // When a release is to begin; kNever where none is.
@@ -123,23 +126,23 @@
   }
 
  private:
+  static constexpr Nanos kNotHeard = -1;
   struct Attempt {
     int number{};
     HoldWorker worker;
     bool prefill{};
     Nanos written{};
-    Nanos
-        running_until{};  // of a prefill: not taken as ended before, once its worker has shown that the link is up
-    bool lost{};          // not waited for any more
+    bool lost{};              // not waited for any more
     Nanos lost_at{};          // when its connection ended
     Nanos over_from{kNever};  // known to be over at its worker from then on
     bool covered{};  // a release was confirmed after it was lost: what it leaves can only come from now on
   };
   // What is known of KV cache itself.
   struct Evidence {
-    bool left{};       // a prefill that has ended may have left some
-    bool confirmed{};  // a worker said that it holds some, and none that it released it
-    Nanos since{kNever};
+    bool left{};             // a prefill that has ended may have left some
+    bool confirmed{};        // a worker said that it holds some, and none that it released it
+    Nanos since{kNever};     // the earliest moment at which it can have been left
+    Nanos heard{kNotHeard};  // when the latest answer came of an attempt that is over
   };
   // The release that is asked for, or is to be.
   struct Release {
@@ -156,9 +159,9 @@
   bool may_be_held() const;
   bool may_be_left() const;
   void prefill_left(Nanos now);
-  void taken(Nanos now);
+  void answered(Nanos now);
+  void taken(Nanos attempt_written);
   void freed(Nanos release_written);
-  void restart(Nanos now);
   Nanos last_moment() const;
   Nanos wanted_moment() const;
 
--- a/tests/kv_hold_test.cpp
+++ b/tests/kv_hold_test.cpp
@@ -47,19 +47,19 @@
   for (const Event end : {Event::decode_lost, Event::decode_not_run}) {
     KvHold hold = prefilled();
     const Nanos due = hold.release_due();
-    CHECK(due == 50 * kMs + kLimit * 3 / 4);
+    CHECK(due == kLimit * 3 / 4);  // the prefill may have ended as soon as it was written
     CHECK(hold.note_attempt(Event::decode_written, 60 * kMs, 1, kDecodeWorker));
     CHECK(hold.release_due() == due);
     CHECK(hold.note_attempt(end, 500 * kMs, 1));
     CHECK(hold.release_due() == due);
-    CHECK(hold.limit_ends() == 50 * kMs + kLimit);
+    CHECK(hold.limit_ends() == kLimit);
   }
 }
 
-TEST_CASE("an answer proves that a write had arrived: the limit starts anew") {
+TEST_CASE("an answer of a decode attempt does not start the limit anew: it may have been under way") {
   KvHold hold = decode_out();
   CHECK(hold.note_attempt(Event::decode_answered, 500 * kMs, 1));
-  CHECK(hold.release_due() == 500 * kMs + kLimit * 3 / 4);
+  CHECK(hold.release_due() == kLimit * 3 / 4);
 }
 
 TEST_CASE("a confirmed release ends nothing while a decode attempt may have waited for what is held") {
@@ -102,9 +102,9 @@
     release(hold, 31'000 * kMs);
     CHECK(hold.state() == HoldState::released);
   }
-  SUBCASE("it is answered: what it waited for is held from then on, and the next release ends the matter") {
+  SUBCASE("it is answered: what it waited for is held since that release, and the next one ends the matter") {
     CHECK(hold.note_attempt(Event::decode_answered, 900 * kMs, 1));
-    CHECK(hold.since() == 900 * kMs);
+    CHECK(hold.since() == 800 * kMs);
     CHECK(hold.owed());
     release(hold, 1700 * kMs);
     CHECK(hold.state() == HoldState::released);
@@ -123,9 +123,9 @@
   const Nanos due = hold.release_due();
   CHECK(due > 85 * kMs);
   CHECK(due < kMost);
-  SUBCASE("its successor's answer starts the limit anew") {
+  SUBCASE("its successor's answer does not start the limit anew") {
     CHECK(hold.note_attempt(Event::prefill_done, 200 * kMs, 1));
-    CHECK(hold.release_due() == 200 * kMs + kLimit * 3 / 4);
+    CHECK(hold.release_due() == kLimit * 3 / 4);
   }
   SUBCASE("its successor's loss does not") {
     CHECK(hold.note_attempt(Event::prefill_lost, 400 * kMs, 1));
@@ -223,7 +223,7 @@
   CHECK(hold.note_attempt(Event::prefill_done, 50 * kMs, 0));
   CHECK_FALSE(hold.release_confirmed(45 * kMs));
   CHECK(hold.state() == HoldState::held);
-  CHECK(hold.since() == 50 * kMs);
+  CHECK(hold.since() == 45 * kMs);
 }
 
 TEST_CASE("a begun answer has taken what was held; what cannot follow is refused") {
@@ -266,7 +266,8 @@
     CHECK(hold.release_due() < 300 * kMs + kMost);
     CHECK(hold.note_attempt(Event::decode_lost, 400 * kMs, 3));
     hold.worker_answered({103, 410 * kMs, 420 * kMs});
-    release(hold, 1000 * kMs);
+    CHECK(hold.note(Event::release_asked, 1000 * kMs));
+    CHECK_FALSE(hold.release_confirmed(1000 * kMs));  // of use to nobody
     CHECK(hold.state() == HoldState::taken);
     CHECK(hold.release_due() == kNever);
     CHECK(hold.note(Event::request_over, 2000 * kMs));
