--- a/src/kv_hold.cpp
+++ b/src/kv_hold.cpp
@@ -25,6 +25,10 @@
 // And so long is an attempt waited for that follows an answer, should the limit end meanwhile: for a connection and a write.
 constexpr Nanos kAfterAnswer = 100 * kMs;
 
+// Bytes may be under way for so long on a link that passes: what is answered sooner on another connection proves nothing, as the
+// link may have fallen silent since.
+constexpr Nanos kInTransit = 200 * kMs;
+
 // What a worker has not done with an attempt that was lost so long ago, it will not do.
 constexpr Nanos kLostFor = 30'000 * kMs;
 
@@ -83,9 +87,12 @@
          std::ranges::any_of(attempts_, [](const Attempt& a) { return a.prefill && !a.covered; });
 }
 
-// The limit counts from the moment at which a prefill is no longer taken as running. Later writes start nothing anew.
+// The limit counts from the moment at which the first prefill is no longer taken as running. Later writes start nothing anew.
 void KvHold::written(const Attempt& attempt, Nanos runs_for) {
-  if (attempt.prefill && !may_be_left()) evidence_ = {.since = attempt.written + runs_for};
+  if (attempt.prefill) {
+    if (!may_be_left()) evidence_ = {};
+    evidence_.since = std::min(evidence_.since, attempt.written + runs_for);
+  }
   attempts_.push_back(attempt);
   // It may bring an answer soon; a release goes on only where the limit is near.
   const bool was_wanted = std::exchange(release_.wanted_at, kNever) != kNever;
@@ -214,11 +221,10 @@
 void KvHold::worker_answered(const WorkerAnswer& answer) {
   for (Attempt& attempt : attempts_) {
     if (attempt.worker.identity != answer.identity) continue;
-    if (attempt.lost && answer.call_written >= attempt.lost_at) {
-      // Bytes that a link has lost are sent again after as long as it was silent at the most: not before the attempt's write.
-      const Nanos silent = answer.answered - attempt.written;
-      attempt.over_from = std::min(attempt.over_from, answer.answered + silent);
-    }
+    if (!attempt.lost || answer.call_written < attempt.lost_at + kInTransit) continue;
+    // Bytes that a link has lost are sent again after as long as it was silent at the most: not before the attempt's write.
+    const Nanos silent = answer.answered - attempt.written;
+    attempt.over_from = std::min(attempt.over_from, answer.answered + silent);
   }
 }
 
