A release beside a decode attempt that is out is not taken to free its KV cache

The decisions read the prompt anew after it, though the worker frees nothing that an attempt waits for.

--- a/src/kv_hold.cpp
+++ b/src/kv_hold.cpp
@@ -194,9 +194,10 @@
 
 bool KvHold::release_confirmed(Nanos written) {
   const bool newer = evidence_.left && evidence_.heard > written;
+  const bool awaited = std::ranges::any_of(attempts_, [](const Attempt& a) { return !a.prefill && !a.lost; });
   release_.confirmed = true;
   freed(written);
-  return !newer && !taken_;
+  return !newer && !awaited && !taken_;
 }
 
 // By a release that was written then, or before an attempt that was written then and found nothing. Nothing is left of attempts
--- a/src/kv_hold.h
+++ b/src/kv_hold.h
@@ -102,7 +102,8 @@
   bool note_attempt(HoldEvent event, Nanos now, int attempt, HoldWorker worker = {}, Nanos runs_for = 0);
   // Takes an event of the request or of its release.
   bool note(HoldEvent event, Nanos now);
-  // A worker has confirmed a release that was about to leave at that moment.
+  // A worker has confirmed a release that was about to leave at that moment. Whether a further decode attempt would find nothing:
+  // what one that is out waits for stays, and what came later as well.
   bool release_confirmed(Nanos written);
   // Evidence of an attempt that its own connection does not give.
   void worker_answered(const WorkerAnswer& answer);
