--- a/http/client.cpp
+++ b/http/client.cpp
@@ -52,7 +52,7 @@
         rested = std::min(rested, kept_[i].since + bounds_.rest);
         continue;
       }
-      if (bounds_.budget && !bounds_.budget->idle_reuse_.worth_using(stood, loop_.now())) continue;
+      if (!worth_using(stood)) continue;
       auto connection = std::move(kept_[i].connection);
       connection->stood = stood;
       kept_.erase(kept_.begin() + static_cast<std::ptrdiff_t>(i));
@@ -99,11 +99,14 @@
 bool Pool::has_rested() const {
   return std::ranges::any_of(kept_, [this](const Kept& kept) {
     const io::Nanos stood = loop_.now() - kept.since;
-    return stood >= bounds_.rest &&
-           (!bounds_.budget || bounds_.budget->idle_reuse_.worth_using(stood, loop_.now()));
+    return stood >= bounds_.rest && worth_using(stood);
   });
 }
 
+bool Pool::worth_using(io::Nanos stood) const {
+  return !bounds_.budget || bounds_.budget->idle_reuse_.worth_using(stood, loop_.now());
+}
+
 void Pool::give_back(std::unique_ptr<Connection> connection) {
   if (kept_.size() >= bounds_.kept || connection->reader->leftover() || !connection->socket.is_open()) {
     connection.reset();
--- a/http/client.h
+++ b/http/client.h
@@ -74,6 +74,8 @@
   std::size_t dialled() const { return dialled_; }
 
  private:
+  // Whether a connection that stood idle for so long is still open at its peer, by what others have shown.
+  bool worth_using(io::Nanos stood) const;
   friend class ConnectionBudget;
   struct Kept {
     std::unique_ptr<Connection> connection;
--- a/io/loop.cpp
+++ b/io/loop.cpp
@@ -126,11 +126,14 @@
 }
 
 // With handed time the clock may only jump once the kernel has delivered what was written. Loopback delivers in
-// the writer's own call nearly always; a moment of real time covers the rest.
+// the writer's own call nearly always; some moments of real time after each write cover the rest. What has not come by then
+// lies at a socket that nobody reads.
 bool Loop::settle() {
   if (watched_ == 0) return false;
   if (poll(0)) return true;
-  return poll(in_kernel_ == 0 ? 0 : 1);
+  if (in_kernel_ == 0 || waits_left_ == 0) return false;
+  --waits_left_;
+  return poll(1);
 }
 
 bool Loop::round() {
--- a/io/loop.h
+++ b/io/loop.h
@@ -127,7 +127,10 @@
   // For Socket alone. Returns 0, or the errno with which the descriptor could not be registered.
   int watch(int fd, Watch& watch);
   void unwatch(int fd);
-  void moved(std::int64_t bytes) { in_kernel_ += bytes; }
+  void moved(std::int64_t bytes) {
+    in_kernel_ += bytes;
+    if (bytes > 0) waits_left_ = kWaitsAfterWrite;
+  }
   void called(Call call, std::uint64_t times = 1) { calls_.add(call, times); }
   const Calls& calls() const { return calls_; }
 
@@ -143,6 +146,8 @@
   Nanos now_{};
   bool stopped_{};
   std::uint64_t order_{};
+  static constexpr int kWaitsAfterWrite = 8;  // of a millisecond each, on handed time
+  int waits_left_{};
   std::int64_t in_kernel_{};  // bytes written less bytes read: with both ends here, what is on its way
   std::size_t watched_{};
   Calls calls_;
--- a/router/kv_releaser.cpp
+++ b/router/kv_releaser.cpp
@@ -36,8 +36,8 @@
 
 void KvReleaser::note(const std::shared_ptr<HeldRequest>& request, HoldEvent event) {
   const HoldState before = request->hold.state();
-  if (event == HoldEvent::request_over) request->over = true;
-  noted(request, event, before, request->hold.note(event, loop_.now()), -1, -1);
+  const bool possible = request->hold.note(event, loop_.now());
+  noted(request, event, before, possible);
 }
 
 void KvReleaser::note_attempt(const std::shared_ptr<HeldRequest>& request, HoldEvent event, int attempt,
@@ -45,8 +45,8 @@
   const HoldState before = request->hold.state();
   const HoldWorker at{worker, fleet_.at(worker).identity};
   if (event == HoldEvent::prefill_written) request->prefilled_at.push_back(at);
-  noted(request, event, before, request->hold.note_attempt(event, loop_.now(), attempt, at, runs_for),
-        attempt, worker);
+  const bool possible = request->hold.note_attempt(event, loop_.now(), attempt, at, runs_for);
+  noted(request, event, before, possible, attempt, worker);
 }
 
 // Logs and traces an event, and begins what follows from it.
@@ -67,7 +67,7 @@
   }
   if (!hold.release_comes_first()) request->settled.notify();
   if (request->releasing) return request->changed.notify();
-  if ((request->over && hold.owed()) || hold.release_due() <= loop_.now()) return begin(request);
+  if ((hold.request_over() && hold.owed()) || hold.release_due() <= loop_.now()) return begin(request);
   if (hold.owed()) watch(request);
 }
 
@@ -145,9 +145,9 @@
 
 // Releases.
 
-io::Nanos KvReleaser::release_due(const HeldRequest& request) const {
+io::Nanos KvReleaser::next_release_at(const HeldRequest& request) const {
   const io::Nanos due = request.hold.release_due();
-  if (hurries_until_ == kNever || !request.over) return due;
+  if (hurries_until_ == kNever || !request.hold.request_over()) return due;
   return std::min(due, request.asked_at + kHurriedPause);
 }
 
@@ -155,9 +155,9 @@
   const KvHold& hold = request->hold;
   while (hold.owed()) {
     gather_evidence(*request);
-    const io::Nanos due = release_due(*request);
+    const io::Nanos due = next_release_at(*request);
     if (loop_.now() < due) {
-      if (!request->over) break;
+      if (!hold.request_over()) break;
       co_await io::wait_until(loop_, request->changed, due);
       continue;
     }
@@ -184,9 +184,9 @@
   gather_evidence(*request);
   ++request->releases_confirmed;
   const bool nothing_to_take = request->hold.release_confirmed(written);
-  noted(request, HoldEvent::release_confirmed, before, true, -1, -1);
+  noted(request, HoldEvent::release_confirmed, before, true);
   counters_.release_confirmed();
-  if (!request->over && !ordered && nothing_to_take) released_(*request);
+  if (!request->hold.request_over() && !ordered && nothing_to_take) released_(*request);
 }
 
 // A rule is judged by what has been confirmed: what may be held counts as held until a worker has released it.
--- a/router/kv_releaser.h
+++ b/router/kv_releaser.h
@@ -27,7 +27,6 @@
   KvHold hold;
   RequestTrace trace;
   std::vector<HoldWorker> prefilled_at;  // told of a release whatever the list says of them
-  bool over{};                           // it has its final answer, or its client has left
   io::Nanos due_at{kNever};              // when it is looked at next
   io::Nanos asked_at{};                  // when its latest release began
   int releases_confirmed{};
@@ -67,14 +66,15 @@
   }
 
  private:
+  static constexpr int kNone = -1;  // no attempt, no worker
   void noted(const std::shared_ptr<HeldRequest>& request, HoldEvent event, HoldState before, bool possible,
-             int attempt, int worker);
+             int attempt = kNone, int worker = kNone);
   void watch(const std::shared_ptr<HeldRequest>& request);
   void look_at(const std::shared_ptr<HeldRequest>& request);
   void begin(const std::shared_ptr<HeldRequest>& request);
   void check_held(HeldRequest& request);
   io::Task<> release(std::shared_ptr<HeldRequest> request);
-  io::Nanos release_due(const HeldRequest& request) const;
+  io::Nanos next_release_at(const HeldRequest& request) const;
   void confirmed(const std::shared_ptr<HeldRequest>& request, io::Nanos written, bool ordered);
   // When the release that a worker confirmed had been written; none where none did.
   io::Task<std::optional<io::Nanos>> tell_until_confirmed(HeldRequest& request);
--- a/src/kv_hold.cpp
+++ b/src/kv_hold.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "release_plan.h"
+
 namespace cressrill {
 
 namespace {
@@ -30,7 +32,7 @@
 constexpr Nanos kInTransit = 200 * kMs;
 
 // What a worker has not done with an attempt that was lost so long ago, it will not do.
-constexpr Nanos kLostFor = 30'000 * kMs;
+constexpr Nanos kLostFor = kReleaseTriedFor;
 
 }  // namespace
 
--- a/src/kv_hold.h
+++ b/src/kv_hold.h
@@ -54,19 +54,19 @@
 };
 
 enum class HoldEvent {
-  prefill_written,  // the request of a prefill is about to leave
-  prefill_refused,  // it never ran
-  prefill_done,     // its worker said so
-  prefill_failed,   // its worker answered something else: it has ended, and may have left something
-  prefill_lost,     // it is not waited for any more, and nobody knows whether it runs, ends, or has ended
-  decode_written,   // the request of a decode attempt is about to leave
-  decode_not_run,   // it never left whole
-  decode_answered,  // its worker answered, and has not taken the KV cache
-  decode_lost,      // it is not waited for any more, and nobody knows whether it arrived
-  decode_begun,     // its answer has begun
-  cache_missing,    // its worker answered that the KV cache is gone
-  release_wanted,   // no attempt that is out needs what is held, and a further one may follow at once
-  request_over,  // the request has its final answer, or its client has left, and no attempt needs what is held
+  prefill_written,    // the request of a prefill is about to leave
+  prefill_refused,    // it never ran
+  prefill_done,       // its worker said so
+  prefill_failed,     // its worker answered something else: it has ended, and may have left something
+  prefill_lost,       // it is not waited for any more, and nobody knows whether it runs, ends, or has ended
+  decode_written,     // the request of a decode attempt is about to leave
+  decode_not_run,     // it never left whole
+  decode_answered,    // its worker answered, and has not taken the KV cache
+  decode_lost,        // it is not waited for any more, and nobody knows whether it arrived
+  decode_begun,       // its answer has begun
+  cache_missing,      // its worker answered that the KV cache is gone
+  release_wanted,     // no attempt that is out needs what is held, and a further one may follow at once
+  request_over,       // it has its final answer, or its client has left, and no attempt needs what is held
   release_asked,      // a release begins
   release_confirmed,  // a worker has answered it (see release_confirmed())
   release_given_up,   // none did for so long that whatever was held is lost with its worker
@@ -112,6 +112,8 @@
   HoldState state() const;
   // Whether something may be held that nobody else will take or release.
   bool owed() const { return may_be_held(); }
+  // Whether the request needs nothing any more.
+  bool request_over() const { return over_; }
   // From when on the limit counts, at the worst.
   Nanos since() const { return evidence_.since; }
   // When a release is to begin; kNever where none is.
@@ -139,7 +141,7 @@
     bool lost{};              // not waited for any more
     Nanos lost_at{};          // when its connection ended
     Nanos over_from{kNever};  // known to be over at its worker from then on
-    bool covered{};  // a release was confirmed after it was lost: what it leaves can only come from now on
+    bool covered{};           // a release was confirmed after it was lost: what it leaves comes after that
     bool operator==(const Attempt&) const = default;
   };
   // What is known of KV cache itself.
@@ -173,8 +175,8 @@
   Nanos wanted_moment() const;
 
   Nanos limit_;
-  std::vector<Attempt>
-      attempts_;  // written, and not known to be over when a release was written that was confirmed
+  // Written, and not known to be over when a release was written that was confirmed.
+  std::vector<Attempt> attempts_;
   Evidence evidence_;
   Release release_;
   bool taken_{};  // decode has what was held, and the request is not over
