--- a/src/kv_hold.cpp
+++ b/src/kv_hold.cpp
@@ -221,8 +221,11 @@
 
 // Evidence by other calls to the same worker.
 
+// Of prefills alone: a release voids one that is under way, so that only its request may still arrive. A decode attempt may wait
+// at its worker while its own connection is silent, whatever passes on others.
 void KvHold::worker_answered(const WorkerAnswer& answer) {
   for (Attempt& attempt : attempts_) {
+    if (!attempt.prefill) continue;
     if (attempt.worker.identity != answer.identity) continue;
     if (!attempt.lost || answer.call_written < attempt.lost_at + kInTransit) continue;
     // Bytes that a link has lost are sent again after as long as it was silent at the most: not before the attempt's write.
--- a/src/kv_hold.h
+++ b/src/kv_hold.h
@@ -23,9 +23,9 @@
 //   a release was confirmed        what no attempt waited for when the release      anything of attempts that arrive later,
 //                                  arrived is freed, and each prefill that was      or that waited then and end later
 //                                  under way leaves nothing
-//   the worker of a lost attempt   that attempt is over there                       -
-//   has answered a call made
-//   after its connection's end
+//   the worker of a lost attempt   a prefill's request that has not arrived by as    that a decode attempt is over: its own
+//   has answered a call made       long again does not                              connection may be silent alone, and its end
+//   after that had time to arrive                                                   not have arrived
 //   the worker is gone from the    its attempts are over
 //   list
 //
@@ -35,7 +35,7 @@
 // another one follows within the limit, until that is known, or for 30 s.
 //
 // A worker that hangs answers nothing, so that nothing of its attempts is taken as over: releases, which other workers confirm,
-// go on until it runs again and answers a call, or leaves the list.
+// go on until it leaves the list, or for 30 s.
 #pragma once
 
 #include <vector>
@@ -124,7 +124,7 @@
   bool wanted() const { return release_.wanted_at != kNever; }
   // The last moment of the limit; kNever where nothing is owed.
   Nanos limit_ends() const { return owed() ? evidence_.since + limit_ : kNever; }
-  // Calls take(worker) with the worker of each lost attempt that is not known to be over: its next answer would prove it.
+  // Calls take(worker) with the worker of each lost attempt that is not known to be over.
   template <class Take>
   void each_awaited_worker(Take take) const {
     for (const Attempt& attempt : attempts_)
