--- a/src/kv_hold.cpp
+++ b/src/kv_hold.cpp
@@ -21,7 +21,7 @@
 
 constexpr Nanos kAtOnce = 0;
 
-// A further attempt mostly leaves at once, and its worker's answer starts the limit anew: no call is made beside it.
+// A further attempt mostly leaves at once, and may take what is held: no call is made beside it.
 constexpr Nanos further_attempt_wait(Nanos limit) { return limit / 40; }
 
 // And so long is an attempt waited for that follows an answer, should the limit end meanwhile: for a connection and a write.
--- a/src/release_plan.h
+++ b/src/release_plan.h
@@ -13,7 +13,7 @@
   int worker{};
   Nanos heard{};     // when an answer of it came last
   int told{};        // how often it was told of this release
-  bool awaited{};    // its answer would also prove that a lost attempt is over there
+  bool awaited{};    // a lost attempt is not known to be over there: of a prefill its answer is proof
   bool connected{};  // it was heard lately, and a connection that is kept to it can be used
 };
 
