Failing test: a client that leaves as a worker answers, found by one look at the sockets

The test forces the order: the worker writes its answer, the client closes, and the router looks at its sockets once.

--- a/tests/site.h
+++ b/tests/site.h
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <set>
 
@@ -74,6 +75,8 @@
   int connections{};
   bool silent{};  // what comes is taken, and nothing is done
   bool loses_releases{};
+  std::function<void()> answers;       // called as an answer, or its first part, is about to be written,
+  std::function<void()> has_answered;  // and once it was, with no look at any socket between
   // Links that pass nothing and stay open, while the worker runs on: all of them, or the first so many connections. What
   // was written to them meanwhile arrives once they pass again.
   bool cut{};
@@ -164,7 +167,9 @@
       }
       if (act.leaves) leave_state(id, releases);
       if (act.takes) states_.erase(id);
+      if (answers) answers();
       co_await s.write_all(act.text);
+      if (has_answered) has_answered();
       if (act.then == Act::Then::abandon) awaits.end(), in_hand.end();
       if (!act.later.empty()) {
         co_await loop_.sleep_for(act.behind);
@@ -183,16 +188,20 @@
   io::Task<> read(io::Socket& s, std::string id, int releases) {
     co_await loop_.sleep_for(20 * kMs);
     leave_state(id, releases);
+    if (answers) answers();
     co_await s.write_all(
         "HTTP/1.1 202 Accepted\r\nX-Load-Report: concurrent=1,x0=0.2\r\n"
         "content-length: 20\r\n\r\n{\"cached_tokens\":128}");
+    if (has_answered) has_answered();
   }
   io::Task<> write(io::Socket& s, std::string id) {
     if (states_.erase(id) == 0) {
       co_await s.write_all("HTTP/1.1 410 Gone\r\nX-Rejected: 1\r\ncontent-length: 0\r\n\r\n");
       co_return;
     }
+    if (answers) answers();
     co_await s.write_all(stream_head());
+    if (has_answered) has_answered();
     for (int i = 0; i < events; ++i) {
       co_await s.write_all(framed(event(i)));
       co_await loop_.sleep_for(20 * kMs);
