Invariant: no request is forgotten while KV cache may be held for it that nobody will release

The trace of a request whose end was not noted is now written, and counted, as the decisions forget it. No change of behaviour; the cause is still in.

--- a/core/invariants.h
+++ b/core/invariants.h
@@ -24,12 +24,13 @@
   deadline_within_budget,  // a worker is told no more time than the client has left, with 0.15 s of slack
   kv_released_in_time,  // KV cache that a worker said it holds is taken or confirmed as released within the limit
   kv_transition,        // what is held changes only in ways that the table of KvHold knows
+  kv_has_owner,         // no request is forgotten while KV cache may be held for it that nobody will release
 };
-constexpr std::size_t kInvariants = 9;
+constexpr std::size_t kInvariants = 10;
 constexpr std::array<const char*, kInvariants> kInvariantNames{
-    "one_final_answer",       "answer_in_time",        "read_is_answered",
-    "client_is_there",        "worker_takes_requests", "repeat_in_window",
-    "deadline_within_budget", "kv_released_in_time",   "kv_transition"};
+    "one_final_answer",      "answer_in_time",   "read_is_answered",       "client_is_there",
+    "worker_takes_requests", "repeat_in_window", "deadline_within_budget", "kv_released_in_time",
+    "kv_transition",         "kv_has_owner"};
 
 class Invariants {
  public:
--- a/router/host.cpp
+++ b/router/host.cpp
@@ -253,6 +253,10 @@
   ask.talk().drop_body();  // a release may still need the rest
   invariants_.check(core::Invariant::one_final_answer, ask.final != Final::none || ask.client_left,
                     ask.brief.id);
+  const bool has_owner = !ask.kv.hold.owed() || ask.kv.hold.request_over();
+  invariants_.check(core::Invariant::kv_has_owner, has_owner, ask.brief.id);
+  if (!has_owner)
+    traces_.write_all_the_same(ask.brief.id, ask.kv.trace, "forgotten while KV cache may be held");
   asks_[static_cast<std::size_t>(seq)].reset();
   free_.push_back(seq);
   counters_.live(--live_);
