Held KV cache has one owner: a lease that no request's end, loss of reference or order of events can drop

Cause: what is owed lived in the request (HeldRequest in Host::Ask), and the releaser knew it by a weak pointer until a release had begun. The request's end was an input like any other: where its client's leaving and the end of its last attempt were found by one look at the sockets, attempt_ended(closed=true) let the decisions forget the request, Host::tell() dropped client_left as "forgotten meanwhile", and with it HoldEvent::request_over; the last reference went, and with it the debt. Change: router/kv_lease: one object from before the first byte of a prefill until KvHold says that nothing is owed, owned by KvReleaser; a request has a handle that reports its end where it is settled, left or forgotten, and at the latest when it is destroyed (request_gone: attempts that nobody reports on any more are lost). The releaser has its own timer in place of the decisions' pulse. An exception in a release ends that release and not the lease. Why it works: no input has to arrive for a lease to be released; what is left to chance is only when.

--- a/router/host.cpp
+++ b/router/host.cpp
@@ -61,11 +61,11 @@
       manner_(protocol.manner()),
       invariants_(log, counters),
       fleet_(loop, station, log),
-      posted_(loop),
-      policy_(make(station.deployment, seed, loop.now(), *this)),
       traces_(loop, log, fleet_),
       releaser_(loop, fleet_, log, counters, invariants_, traces_, station.deployment.pin_limit,
-                [this](HeldRequest& request) { cache_released(request); }),
+                [this](const KvLease& lease) { cache_released(lease); }),
+      posted_(loop),
+      policy_(make(station.deployment, seed, loop.now(), *this)),
       errands_(loop),
       pump_(loop) {
   pump_.spawn(pump());
@@ -109,7 +109,6 @@
     case Input::What::list_failed:
       return policy_->list_failed(now);
     case Input::What::woke:
-      releaser_.look();
       return policy_->woke(now);
     default:
       break;
@@ -123,7 +122,7 @@
                              ask.brief.max_out, ask.abandon_at);
       break;
     case Input::What::client_left:
-      note_kv(ask, HoldEvent::request_over);
+      end_lease(ask);
       policy_->client_left(now, ask.seq);
       // A stream that nobody reads ends; no one can cancel it but its host.
       if (ask.bound >= 0) end(ask, ask.bound, Outcome::cancelled);
@@ -253,10 +252,7 @@
   ask.talk().drop_body();  // a release may still need the rest
   invariants_.check(core::Invariant::one_final_answer, ask.final != Final::none || ask.client_left,
                     ask.brief.id);
-  const bool has_owner = !ask.kv.hold.owed() || ask.kv.hold.request_over();
-  invariants_.check(core::Invariant::kv_has_owner, has_owner, ask.brief.id);
-  if (!has_owner)
-    traces_.write_all_the_same(ask.brief.id, ask.kv.trace, "forgotten while KV cache may be held");
+  end_lease(ask);
   asks_[static_cast<std::size_t>(seq)].reset();
   free_.push_back(seq);
   counters_.live(--live_);
@@ -271,9 +267,9 @@
   ask.final = final;
   ask.news.notify();
   trace(ask, Step::settled, -1, word(final));
-  note_kv(ask, HoldEvent::request_over);
+  end_lease(ask);
   if (final != Final::generated && final != Final::engine_refused && !ask.runs.empty())
-    traces_.write(ask.brief.id, ask.kv.trace, "not served after attempts");
+    traces_.write(ask.brief.id, ask.kv->trace, "not served after attempts");
   counters_.answered(type_name(ask), word(final));
   log_.info("answered", {{"sequence", ask.brief.id},
                          {"answer", word(final)},
@@ -353,8 +349,7 @@
       co_return end(*ask, k, lease.crowded() ? Outcome::not_sent : Outcome::connect_failed);
     run.stood = lease->used_before ? lease->stood : -1;
     trace(*ask, Step::connected, k);
-    if (run.reads && ask->kv.hold.release_comes_first())
-      co_await releaser_.release_first(std::shared_ptr<HeldRequest>(ask, &ask->kv));
+    if (run.reads && ask->kv->hold.release_comes_first()) co_await releaser_.release_first(ask->kv.shared());
     if (!may_begin(*ask, run)) co_return end(*ask, k, Outcome::not_sent);
     // Noted before the first byte: a worker may hold something from then on.
     run.write_began = loop_.now();
@@ -558,36 +553,37 @@
 // Where one release frees all that is held for a request, the releaser owns it.
 void Host::note_kv(Ask& ask, HoldEvent event, int k) {
   if (!manner_.one_release) return;
-  const std::shared_ptr<Ask>& owner = asks_[static_cast<std::size_t>(ask.seq)];
-  const std::shared_ptr<HeldRequest> request(owner, &owner->kv);
-  if (k < 0) return releaser_.note(request, event);
+  if (k < 0) return releaser_.note(ask.kv.shared(), event);
   const Run& run = *ask.runs[static_cast<std::size_t>(k)];
-  releaser_.note_attempt(request, event, k, run.worker, run.runs_for);
+  releaser_.note_attempt(ask.kv.shared(), event, k, run.worker, run.runs_for);
+}
+
+void Host::end_lease(Ask& ask) {
+  if (manner_.one_release) ask.kv.request_over();
 }
 
 void Host::trace(Ask& ask, Step step, int k, const char* detail, std::size_t bytes) {
   const Run* run = k < 0 ? nullptr : ask.runs[static_cast<std::size_t>(k)].get();
-  ask.kv.trace.add({.at = loop_.now(),
-                    .step = step,
-                    .kv = ask.kv.hold.state(),
-                    .attempt = static_cast<std::int16_t>(k),
-                    .worker = run == nullptr ? -1 : run->worker,
-                    .stood = run == nullptr ? 0 : run->stood,
-                    .bytes = bytes,
-                    .detail = detail});
+  ask.kv->trace.add({.at = loop_.now(),
+                     .step = step,
+                     .kv = ask.kv->hold.state(),
+                     .attempt = static_cast<std::int16_t>(k),
+                     .worker = run == nullptr ? -1 : run->worker,
+                     .stood = run == nullptr ? 0 : run->stood,
+                     .bytes = bytes,
+                     .detail = detail});
 }
 
-void Host::cache_released(HeldRequest& request) {
+void Host::cache_released(const KvLease& lease) {
   for (const std::shared_ptr<Ask>& ask : asks_)
-    if (ask && &ask->kv == &request)
-      return put({.what = Input::What::cache_released, .ask = ask, .list = {}});
+    if (ask && &*ask->kv == &lease) return put({.what = Input::What::cache_released, .ask = ask, .list = {}});
 }
 
 void Host::write_traces() {
   constexpr int kMost = 64;
   int written = 0;
   for (const std::shared_ptr<Ask>& ask : asks_)
-    if (ask && written++ < kMost) traces_.write_all_the_same(ask->brief.id, ask->kv.trace, "asked for");
+    if (ask && written++ < kMost) traces_.write_all_the_same(ask->brief.id, ask->kv->trace, "asked for");
 }
 
 // Clients.
@@ -612,7 +608,8 @@
 }
 
 std::shared_ptr<Host::Ask> Host::take(Brief brief, std::unique_ptr<Talk> talk, io::Nanos came) {
-  auto ask = std::make_shared<Ask>(loop_, std::move(brief), std::move(talk), station_.deployment.pin_limit);
+  std::shared_ptr<KvLease> lease = releaser_.open_lease(brief.id, std::move(talk));
+  auto ask = std::make_shared<Ask>(loop_, std::move(brief), releaser_, std::move(lease));
   if (free_.empty()) {
     free_.push_back(static_cast<int>(asks_.size()));
     asks_.emplace_back();
--- a/router/host.h
+++ b/router/host.h
@@ -82,15 +82,12 @@
   };
   // State of one sequence.
   struct Ask {
-    Ask(io::Loop& loop, Brief b, std::unique_ptr<Talk> t, io::Nanos pin_limit)
-        : brief(std::move(b)), kv(loop, pin_limit), news(loop), drained(loop) {
-      kv.id = brief.id;
-      kv.talk = std::move(t);
-    }
+    Ask(io::Loop& loop, Brief b, KvReleaser& releaser, std::shared_ptr<KvLease> lease)
+        : brief(std::move(b)), kv(releaser, std::move(lease)), news(loop), drained(loop) {}
     int seq{};
     Brief brief;
-    HeldRequest kv;
-    Talk& talk() { return *kv.talk; }
+    KvLeaseHandle kv;
+    Talk& talk() { return *kv->talk; }
     io::Nanos came{};
     io::Nanos abandon_at{};
     io::Signal news;      // for the client's coroutine
@@ -156,8 +153,9 @@
   io::Task<> wait_for_client(Ask& ask, Run& run);
   void release(Ask& ask, int k);
   void note_kv(Ask& ask, HoldEvent event, int k = -1);
+  void end_lease(Ask& ask);
   void trace(Ask& ask, Step step, int k = -1, const char* detail = "", std::size_t bytes = 0);
-  void cache_released(HeldRequest& request);
+  void cache_released(const KvLease& lease);
 
   io::Loop& loop_;
   const core::Station& station_;
@@ -167,6 +165,8 @@
   const Protocol::Manner manner_;
   core::Invariants invariants_;
   Fleet fleet_;
+  TraceWriter traces_;
+  KvReleaser releaser_;                     // outlives the requests, which report to it as they go
   std::vector<std::shared_ptr<Ask>> asks_;  // by small index
   std::vector<int> free_;
   std::size_t live_{};
@@ -174,8 +174,6 @@
   std::vector<Input> telling_;  // taken from the inbox; its room goes back there
   io::Signal posted_;
   std::unique_ptr<Policy> policy_;
-  TraceWriter traces_;
-  KvReleaser releaser_;
   io::Scope errands_;  // wakes
   io::Scope pump_;
 };
--- a/router/kv_releaser.cpp
+++ b/router/kv_releaser.cpp
@@ -22,7 +22,7 @@
 
 KvReleaser::KvReleaser(io::Loop& loop, Fleet& fleet, core::Log& log, core::Counters& counters,
                        core::Invariants& invariants, TraceWriter& traces, io::Nanos limit,
-                       std::function<void(HeldRequest&)> released)
+                       std::function<void(const KvLease&)> released)
     : loop_(loop),
       fleet_(fleet),
       log_(log),
@@ -31,96 +31,145 @@
       traces_(traces),
       limit_(limit),
       released_(std::move(released)),
+      earlier_due_(loop),
+      clock_(loop, io::Scope::Failure::ends_program),
       tasks_(loop),
-      calls_(loop) {}
+      calls_(loop) {
+  clock_.spawn(watch_due());
+}
 
-void KvReleaser::note(const std::shared_ptr<HeldRequest>& request, HoldEvent event) {
-  const HoldState before = request->hold.state();
-  const bool possible = request->hold.note(event, loop_.now());
-  noted(request, event, before, possible);
+void KvReleaser::note(const std::shared_ptr<KvLease>& lease, HoldEvent event) {
+  const HoldState before = lease->hold.state();
+  const bool possible = lease->hold.note(event, loop_.now());
+  noted(lease, event, before, possible);
 }
 
-void KvReleaser::note_attempt(const std::shared_ptr<HeldRequest>& request, HoldEvent event, int attempt,
-                              int worker, io::Nanos runs_for) {
-  const HoldState before = request->hold.state();
+void KvReleaser::note_attempt(const std::shared_ptr<KvLease>& lease, HoldEvent event, int attempt, int worker,
+                              io::Nanos runs_for) {
+  const HoldState before = lease->hold.state();
   const HoldWorker at{worker, fleet_.at(worker).identity};
-  if (event == HoldEvent::prefill_written) request->prefilled_at.push_back(at);
-  const bool possible = request->hold.note_attempt(event, loop_.now(), attempt, at, runs_for);
-  noted(request, event, before, possible, attempt, worker);
+  if (event == HoldEvent::prefill_written) lease->prefilled_at.push_back(at);
+  const bool possible = lease->hold.note_attempt(event, loop_.now(), attempt, at, runs_for);
+  noted(lease, event, before, possible, attempt, worker);
 }
 
 // Logs and traces an event, and begins what follows from it.
-void KvReleaser::noted(const std::shared_ptr<HeldRequest>& request, HoldEvent event, HoldState before,
+void KvReleaser::noted(const std::shared_ptr<KvLease>& lease, HoldEvent event, HoldState before,
                        bool possible, int attempt, int worker) {
-  const KvHold& hold = request->hold;
-  request->trace.add({.at = loop_.now(),
-                      .step = Step::kv_event,
-                      .kv = hold.state(),
-                      .attempt = static_cast<std::int16_t>(attempt),
-                      .worker = worker,
-                      .detail = word(event)});
-  invariants_.check(core::Invariant::kv_transition, possible, request->id);
+  const KvHold& hold = lease->hold;
+  lease->trace.add({.at = loop_.now(),
+                    .step = Step::kv_event,
+                    .kv = hold.state(),
+                    .attempt = static_cast<std::int16_t>(attempt),
+                    .worker = worker,
+                    .detail = word(event)});
+  invariants_.check(core::Invariant::kv_transition, possible, lease->id);
   if (!possible) {
     log_.error("transition not allowed",
-               {{"request", request->id}, {"state", word(before)}, {"event", word(event)}});
-    traces_.write_all_the_same(request->id, request->trace, "transition not allowed");
+               {{"request", lease->id}, {"state", word(before)}, {"event", word(event)}});
+    traces_.write_all_the_same(lease->id, lease->trace, "transition not allowed");
   }
-  if (!hold.release_comes_first()) request->settled.notify();
-  if (request->releasing) return request->changed.notify();
-  if ((hold.request_over() && hold.owed()) || hold.release_due() <= loop_.now()) return begin(request);
-  if (hold.owed()) watch(request);
+  if (hold.owed()) keep(lease);
+  invariants_.check(core::Invariant::kv_has_owner, !hold.owed() || lease->slot != KvLease::kNotOwned,
+                    lease->id);
+  if (!hold.release_comes_first()) lease->settled.notify();
+  if (lease->releasing) return lease->changed.notify();
+  if ((hold.request_over() && hold.owed()) || hold.release_due() <= loop_.now()) return begin(lease);
+  if (hold.owed()) return watch(lease);
+  drop_if_free(lease);
 }
 
-io::Task<> KvReleaser::release_first(std::shared_ptr<HeldRequest> request) {
+io::Task<> KvReleaser::release_first(std::shared_ptr<KvLease> lease) {
   const io::Nanos until = loop_.now() + pause_before_next_call(limit_, 0);
-  while (request->hold.release_comes_first() && loop_.now() < until)
-    co_await io::wait_until(loop_, request->settled, until);
+  while (lease->hold.release_comes_first() && loop_.now() < until)
+    co_await io::wait_until(loop_, lease->settled, until);
+}
+
+void KvReleaser::request_over(const std::shared_ptr<KvLease>& lease) {
+  if (!lease->hold.request_over()) note(lease, HoldEvent::request_over);
+}
+
+void KvReleaser::request_gone(const std::shared_ptr<KvLease>& lease) {
+  if (!cancelled_ && lease->hold.owed()) note(lease, HoldEvent::request_gone);
+}
+
+void KvLeaseHandle::request_over() { releaser_.request_over(lease_); }
+
+KvLeaseHandle::~KvLeaseHandle() { releaser_.request_gone(lease_); }
+
+// Leases.
+
+void KvReleaser::keep(const std::shared_ptr<KvLease>& lease) {
+  if (lease->slot != KvLease::kNotOwned) return;
+  lease->slot = leases_.size();
+  leases_.push_back(lease);
 }
 
-void KvReleaser::watch(const std::shared_ptr<HeldRequest>& request) {
-  const io::Nanos due = request->hold.release_due();
-  if (due >= request->due_at) return;  // none, or looked at before
-  request->due_at = due;
-  due_.push({due, request});
+void KvReleaser::drop_if_free(const std::shared_ptr<KvLease>& lease) {
+  if (lease->slot == KvLease::kNotOwned || lease->hold.owed() || lease->releasing) return;
+  leases_.back()->slot = lease->slot;
+  std::swap(leases_[lease->slot], leases_.back());
+  lease->slot = KvLease::kNotOwned;
+  leases_.pop_back();
 }
 
-void KvReleaser::look() {
-  while (!due_.empty() && due_.top().at <= loop_.now()) {
-    const std::shared_ptr<HeldRequest> request = due_.top().request.lock();
+void KvReleaser::watch(const std::shared_ptr<KvLease>& lease, io::Nanos not_before) {
+  const io::Nanos due = std::max(lease->hold.release_due(), not_before);
+  if (due >= lease->due_at) return;  // none, or looked at before
+  lease->due_at = due;
+  const bool earliest = due_.empty() || due < due_.top().at;
+  due_.push({due, lease});
+  if (earliest) earlier_due_.notify();
+}
+
+io::Task<> KvReleaser::watch_due() {
+  for (;;) {
+    while (due_.empty()) co_await earlier_due_.wait();
+    const io::Nanos at = due_.top().at;
+    if (loop_.now() < at) {
+      co_await io::wait_until(loop_, earlier_due_, at);
+      continue;
+    }
+    const std::shared_ptr<KvLease> lease = due_.top().lease.lock();
     due_.pop();
-    if (!request) continue;
-    request->due_at = kNever;
-    if (!request->releasing) look_at(request);
+    if (!lease) continue;
+    lease->due_at = kNever;
+    if (!lease->releasing) look_at(lease);
   }
 }
 
-void KvReleaser::look_at(const std::shared_ptr<HeldRequest>& request) {
-  gather_evidence(*request);
-  const KvHold& hold = request->hold;
-  if (!hold.owed()) return;
-  if (hold.release_due() > loop_.now()) return watch(request);
-  if (hold.state() == HoldState::held)
-    traces_.write(request->id, request->trace, "held for most of its limit");
-  begin(request);
+void KvReleaser::look_at(const std::shared_ptr<KvLease>& lease) {
+  gather_evidence(*lease);
+  const KvHold& hold = lease->hold;
+  if (!hold.owed()) return drop_if_free(lease);
+  if (hold.release_due() > loop_.now()) return watch(lease);
+  if (hold.state() == HoldState::held) traces_.write(lease->id, lease->trace, "held for most of its limit");
+  begin(lease);
 }
 
-void KvReleaser::begin(const std::shared_ptr<HeldRequest>& request) {
-  request->releasing = true;
-  releases_.push_back(request);
-  tasks_.spawn(release(request));
+void KvReleaser::begin(const std::shared_ptr<KvLease>& lease) {
+  lease->releasing = true;
+  tasks_.spawn(release(lease));
 }
 
 // A release that no worker has confirmed within the limit may never be: the process does not wait for it.
 bool KvReleaser::owes() const {
   if (loop_.now() >= hurries_until_) return false;
-  return std::ranges::any_of(releases_, [&](const auto& request) {
-    return request->hold.owed() && loop_.now() < request->hold.limit_ends();
+  return std::ranges::any_of(leases_, [&](const auto& lease) {
+    return lease->hold.owed() && loop_.now() < lease->hold.limit_ends();
   });
 }
 
 void KvReleaser::hurry() {
-  if (hurries_until_ == kNever) hurries_until_ = loop_.now() + kHurriedFor;
-  for (const auto& request : releases_) request->changed.notify();
+  if (!hurries()) hurries_until_ = loop_.now() + kHurriedFor;
+  for (const auto& lease : leases_) lease->changed.notify();
+}
+
+void KvReleaser::cancel() {
+  cancelled_ = true;
+  clock_.cancel();
+  tasks_.cancel();
+  calls_.cancel();
 }
 
 // Evidence.
@@ -131,128 +180,142 @@
 }
 
 // What calls of other requests have told of the workers of this one's attempts.
-void KvReleaser::gather_evidence(HeldRequest& request) {
+void KvReleaser::gather_evidence(KvLease& lease) {
   std::vector<HoldWorker> awaited;
-  request.hold.each_awaited_worker([&](const HoldWorker& worker) { awaited.push_back(worker); });
+  lease.hold.each_awaited_worker([&](const HoldWorker& worker) { awaited.push_back(worker); });
   for (const HoldWorker& worker : awaited) {
     const Link* link = find(worker);
     if (link == nullptr)
-      request.hold.worker_gone(worker.identity, loop_.now());
+      lease.hold.worker_gone(worker.identity, loop_.now());
     else
-      request.hold.worker_answered({worker.identity, link->answered_call, link->heard});
+      lease.hold.worker_answered({worker.identity, link->answered_call, link->heard});
   }
 }
 
 // Releases.
 
-io::Nanos KvReleaser::next_release_at(const HeldRequest& request) const {
-  const io::Nanos due = request.hold.release_due();
-  if (hurries_until_ == kNever || !request.hold.request_over()) return due;
-  return std::min(due, request.asked_at + kHurriedPause);
+io::Nanos KvReleaser::next_release_at(const KvLease& lease) const {
+  const io::Nanos due = lease.hold.release_due();
+  if (!hurries() || !lease.hold.request_over()) return due;
+  return std::min(due, lease.asked_at + kHurriedPause);
+}
+
+io::Nanos KvReleaser::pause_after(int calls) const { return pause_before_next_call(limit_, calls); }
+
+// An exception ends this release and not the lease.
+io::Task<> KvReleaser::release(std::shared_ptr<KvLease> lease) {
+  std::exception_ptr thrown;
+  try {
+    co_await release_until_free(lease);
+  } catch (...) {
+    thrown = std::current_exception();
+  }
+  lease->releasing = false;
+  if (thrown) loop_.task_failed(thrown);
+  if (lease->hold.owed()) watch(lease, thrown ? loop_.now() + pause_after(0) : 0);
+  drop_if_free(lease);
 }
 
-io::Task<> KvReleaser::release(std::shared_ptr<HeldRequest> request) {
-  const KvHold& hold = request->hold;
+io::Task<> KvReleaser::release_until_free(const std::shared_ptr<KvLease>& lease) {
+  const KvHold& hold = lease->hold;
   while (hold.owed()) {
-    gather_evidence(*request);
-    const io::Nanos due = next_release_at(*request);
+    gather_evidence(*lease);
+    const io::Nanos due = next_release_at(*lease);
     if (loop_.now() < due) {
-      if (!hold.request_over()) break;
-      co_await io::wait_until(loop_, request->changed, due);
+      if (!hold.request_over()) co_return;
+      co_await io::wait_until(loop_, lease->changed, due);
       continue;
     }
     const bool ordered = hold.wanted();  // by the decisions, which know of it
-    request->asked_at = loop_.now();
-    note(request, HoldEvent::release_asked);
+    lease->asked_at = loop_.now();
+    note(lease, HoldEvent::release_asked);
     counters_.release_asked();
-    const std::optional<io::Nanos> written = co_await tell_until_confirmed(*request);
+    const std::optional<io::Nanos> written = co_await tell_until_confirmed(*lease);
     if (written) {
-      confirmed(request, *written, ordered);
+      confirmed(lease, *written, ordered);
     } else if (hold.state() == HoldState::releasing) {
       counters_.release_given_up();
-      traces_.write(request->id, request->trace, "no worker has confirmed a release");
-      note(request, HoldEvent::release_given_up);
+      traces_.write(lease->id, lease->trace, "no worker has confirmed a release");
+      note(lease, HoldEvent::release_given_up);
     }
   }
-  request->releasing = false;
-  std::erase(releases_, request);
-  if (hold.owed()) watch(request);
 }
 
-void KvReleaser::confirmed(const std::shared_ptr<HeldRequest>& request, io::Nanos written, bool ordered) {
-  const HoldState before = request->hold.state();
-  gather_evidence(*request);
-  ++request->releases_confirmed;
-  const bool nothing_to_take = request->hold.release_confirmed(written);
-  noted(request, HoldEvent::release_confirmed, before, true);
+void KvReleaser::confirmed(const std::shared_ptr<KvLease>& lease, io::Nanos written, bool ordered) {
+  const HoldState before = lease->hold.state();
+  gather_evidence(*lease);
+  ++lease->releases_confirmed;
+  const bool nothing_to_take = lease->hold.release_confirmed(written);
+  noted(lease, HoldEvent::release_confirmed, before, true);
   counters_.release_confirmed();
-  if (!request->hold.request_over() && !ordered && nothing_to_take) released_(*request);
+  if (!lease->hold.request_over() && !ordered && nothing_to_take) released_(*lease);
 }
 
 // A rule is judged by what has been confirmed: what may be held counts as held until a worker has released it.
-void KvReleaser::check_held(HeldRequest& request) {
-  const io::Nanos until = request.hold.limit_ends();
-  if (request.violated || until == kNever) return;
+void KvReleaser::check_held(KvLease& lease) {
+  const io::Nanos until = lease.hold.limit_ends();
+  if (lease.violated || until == kNever) return;
   const io::Nanos passed_by = loop_.now() - until - kHeldSlack;
   if (passed_by <= 0) return;
-  request.violated = true;
-  invariants_.check(core::Invariant::kv_released_in_time, false, request.id, passed_by / io::kMs);
-  traces_.write_all_the_same(request.id, request.trace, "held too long");
+  lease.violated = true;
+  invariants_.check(core::Invariant::kv_released_in_time, false, lease.id, passed_by / io::kMs);
+  traces_.write_all_the_same(lease.id, lease.trace, "held too long");
 }
 
 // Calls that are not answered soon stay open beside the next ones. Whatever makes the release needless, an answer of an
 // attempt among it, ends it.
-io::Task<std::optional<io::Nanos>> KvReleaser::tell_until_confirmed(HeldRequest& request) {
+io::Task<std::optional<io::Nanos>> KvReleaser::tell_until_confirmed(KvLease& lease) {
   std::optional<io::Nanos> confirmed;
   std::unordered_map<int, int> told;
   io::Scope calls(loop_);
-  const auto over = [&] { return confirmed.has_value() || request.hold.state() != HoldState::releasing; };
+  const auto over = [&] { return confirmed.has_value() || lease.hold.state() != HoldState::releasing; };
   const io::Nanos until = loop_.now() + kReleaseTriedFor;
   for (int made = 0; loop_.now() < until; ++made) {
-    std::vector<ReleaseCandidate> workers = candidates(request);
+    std::vector<ReleaseCandidate> workers = candidates(lease);
     for (ReleaseCandidate& candidate : workers) candidate.told = told[candidate.worker];
     if (!workers.empty()) {
       const ReleaseCandidate& next = next_to_tell(workers);
       ++told[next.worker];
-      calls.spawn(tell(request, next.worker, needs_new_connection(next), confirmed));
+      calls.spawn(tell(lease, next.worker, needs_new_connection(next), confirmed));
     }
-    const io::Nanos next_call = loop_.now() + pause_before_next_call(limit_, made);
-    while (!over() && loop_.now() < next_call) co_await io::wait_until(loop_, request.changed, next_call);
+    const io::Nanos began = loop_.now();
+    const auto next_call = [&] { return began + pause_after(made); };
+    while (!over() && loop_.now() < next_call()) co_await io::wait_until(loop_, lease.changed, next_call());
     if (over()) co_return confirmed;
-    check_held(request);
+    check_held(lease);
   }
   co_return std::nullopt;
 }
 
-io::Task<> KvReleaser::tell(HeldRequest& request, int worker, bool on_new_connection,
+io::Task<> KvReleaser::tell(KvLease& lease, int worker, bool on_new_connection,
                             std::optional<io::Nanos>& confirmed) {
   const Link& link = fleet_.at(worker);
   const HoldWorker told{worker, link.identity};
-  request.trace.add({.at = loop_.now(),
-                     .step = Step::release_told,
-                     .kv = request.hold.state(),
-                     .worker = worker,
-                     .detail = on_new_connection ? "new connection" : "any connection"});
+  lease.trace.add({.at = loop_.now(),
+                   .step = Step::release_told,
+                   .kv = lease.hold.state(),
+                   .worker = worker,
+                   .detail = on_new_connection ? "new connection" : "any connection"});
   // Asked once a connection is there: what was held may have been taken meanwhile.
   io::Nanos written = 0;
   const std::function<bool()> still_wanted = [&] {
     written = loop_.now();
-    return request.hold.state() == HoldState::releasing;
+    return lease.hold.state() == HoldState::releasing;
   };
-  const auto answer = co_await io::within(
-      loop_, loop_.now() + release_call_timeout(limit_),
-      http::exchange(link.pool, request.talk->release(0, link.listed.address), still_wanted,
-                     on_new_connection ? http::Reuse::never : http::Reuse::allowed));
+  const auto answer =
+      co_await io::within(loop_, loop_.now() + release_call_timeout(limit_),
+                          http::exchange(link.pool, lease.talk->release(0, link.listed.address), still_wanted,
+                                         on_new_connection ? http::Reuse::never : http::Reuse::allowed));
   if (!answer || !answer->ok() || answer->head.status / 100 != 2) co_return;
   if (find(told) != nullptr) fleet_.at(worker).answered(written, loop_.now());
-  request.trace.add(
-      {.at = loop_.now(), .step = Step::release_heard, .kv = request.hold.state(), .worker = worker});
+  lease.trace.add(
+      {.at = loop_.now(), .step = Step::release_heard, .kv = lease.hold.state(), .worker = worker});
   confirmed = written;
-  request.changed.notify();
+  lease.changed.notify();
 }
 
 // The ready workers, and those that hold something or may.
-std::vector<ReleaseCandidate> KvReleaser::candidates(const HeldRequest& request) const {
+std::vector<ReleaseCandidate> KvReleaser::candidates(const KvLease& lease) const {
   std::vector<ReleaseCandidate> out;
   const auto add = [&](int worker) {
     const Link& link = fleet_.at(worker);
@@ -265,11 +328,11 @@
     const auto listed = std::ranges::find(out, worker.index, &ReleaseCandidate::worker);
     return listed != out.end() ? &*listed : add(worker.index);
   };
-  for (const HoldWorker& worker : request.prefilled_at)
+  for (const HoldWorker& worker : lease.prefilled_at)
     if (find(worker) != nullptr) candidate(worker);
-  const bool wants_proof = hurries_until_ != kNever || request.releases_confirmed >= kReleasesBeforeProof;
+  const bool wants_proof = hurries_until_ != kNever || lease.releases_confirmed >= kReleasesBeforeProof;
   if (!wants_proof) return out;
-  request.hold.each_awaited_worker([&](const HoldWorker& worker) {
+  lease.hold.each_awaited_worker([&](const HoldWorker& worker) {
     if (find(worker) != nullptr) candidate(worker)->awaited = true;
   });
   return out;
--- a/router/kv_releaser.h
+++ b/router/kv_releaser.h
@@ -1,5 +1,6 @@
-// Owns what is held for requests at workers: keeps each request's KvHold, begins a release when that says so, tells workers
-// until one has confirmed it, and gathers the evidence that ends the matter.
+// Owns the leases on the KV cache of requests: begins a release when a lease says that one is due, tells workers until one has
+// confirmed it, and gathers the evidence that ends the lease. A lease ends by that evidence alone, whatever becomes of its
+// request.
 #pragma once
 
 #include <functional>
@@ -12,46 +13,34 @@
 #include "core/counters.h"
 #include "core/invariants.h"
 #include "fleet.h"
-#include "kv_hold.h"
-#include "protocol.h"
+#include "kv_lease.h"
 #include "release_plan.h"
 #include "trace_writer.h"
 
 namespace cressrill::router {
 
-// What is held for one request, and what is needed to release it after the request itself is over.
-struct HeldRequest {
-  HeldRequest(io::Loop& loop, io::Nanos limit) : hold(limit), changed(loop), settled(loop) {}
-  std::string id;
-  std::unique_ptr<Talk> talk;
-  KvHold hold;
-  RequestTrace trace;
-  std::vector<HoldWorker> prefilled_at;  // told of a release whatever the list says of them
-  io::Nanos due_at{kNever};              // when it is looked at next
-  io::Nanos asked_at{};                  // when its latest release began
-  int releases_confirmed{};
-  bool releasing{};    // a task of the releaser has it
-  bool violated{};     // was counted as held too long
-  io::Signal changed;  // for that task,
-  io::Signal settled;  // and for an attempt that a release comes before
-};
-
 class KvReleaser {
  public:
   // released: a worker has confirmed that nothing is held any more for a request that is not over.
   KvReleaser(io::Loop& loop, Fleet& fleet, core::Log& log, core::Counters& counters,
              core::Invariants& invariants, TraceWriter& traces, io::Nanos limit,
-             std::function<void(HeldRequest&)> released);
+             std::function<void(const KvLease&)> released);
 
+  // For a request that is taken. Costs nothing until its first prefill is written.
+  std::shared_ptr<KvLease> open_lease(std::string request_id, std::unique_ptr<Talk> talk) const {
+    return std::make_shared<KvLease>(loop_, limit_, std::move(request_id), std::move(talk));
+  }
   // An event of that request, or of one of its attempts, at this moment.
-  void note(const std::shared_ptr<HeldRequest>& request, HoldEvent event);
-  void note_attempt(const std::shared_ptr<HeldRequest>& request, HoldEvent event, int attempt, int worker,
+  void note(const std::shared_ptr<KvLease>& lease, HoldEvent event);
+  void note_attempt(const std::shared_ptr<KvLease>& lease, HoldEvent event, int attempt, int worker,
                     io::Nanos runs_for);
+  // The request has its final answer, or its client has left, and no attempt will follow. May be said more than once.
+  void request_over(const std::shared_ptr<KvLease>& lease);
+  // Nobody refers to the request any more, so that no attempt of it will report its end.
+  void request_gone(const std::shared_ptr<KvLease>& lease);
   // Waits a moment for a release that is to come before a further prefill.
-  io::Task<> release_first(std::shared_ptr<HeldRequest> request);
-  // Begins what has become due. To be called some times within each limit while requests are in hand.
-  void look();
-  // Whether this process still owes a release: nobody else will see to it, should it end before.
+  io::Task<> release_first(std::shared_ptr<KvLease> lease);
+  // Whether this process still owes a release that may reach a worker: nobody else will see to it, should it end before.
   bool owes() const;
   // The process ends soon: releases that go on until more is known follow each other closely, and are not owed for long.
   void hurry();
@@ -60,29 +49,32 @@
   void release_at(int worker, std::string text);
   // Whether such a call is under way.
   bool telling() const { return !calls_.empty(); }
-  void cancel() {
-    tasks_.cancel();
-    calls_.cancel();
-  }
+  // Leases of requests that are still reported end with this; nothing more is released.
+  void cancel();
 
  private:
   static constexpr int kNone = -1;  // no attempt, no worker
-  void noted(const std::shared_ptr<HeldRequest>& request, HoldEvent event, HoldState before, bool possible,
+  void noted(const std::shared_ptr<KvLease>& lease, HoldEvent event, HoldState before, bool possible,
              int attempt = kNone, int worker = kNone);
-  void watch(const std::shared_ptr<HeldRequest>& request);
-  void look_at(const std::shared_ptr<HeldRequest>& request);
-  void begin(const std::shared_ptr<HeldRequest>& request);
-  void check_held(HeldRequest& request);
-  io::Task<> release(std::shared_ptr<HeldRequest> request);
-  io::Nanos next_release_at(const HeldRequest& request) const;
-  void confirmed(const std::shared_ptr<HeldRequest>& request, io::Nanos written, bool ordered);
+  void keep(const std::shared_ptr<KvLease>& lease);
+  void drop_if_free(const std::shared_ptr<KvLease>& lease);
+  void watch(const std::shared_ptr<KvLease>& lease, io::Nanos not_before = 0);
+  io::Task<> watch_due();
+  void look_at(const std::shared_ptr<KvLease>& lease);
+  void begin(const std::shared_ptr<KvLease>& lease);
+  void check_held(KvLease& lease);
+  io::Task<> release(std::shared_ptr<KvLease> lease);
+  io::Task<> release_until_free(const std::shared_ptr<KvLease>& lease);
+  bool hurries() const { return hurries_until_ != kNever; }
+  io::Nanos pause_after(int calls) const;
+  io::Nanos next_release_at(const KvLease& lease) const;
+  void confirmed(const std::shared_ptr<KvLease>& lease, io::Nanos written, bool ordered);
   // When the release that a worker confirmed had been written; none where none did.
-  io::Task<std::optional<io::Nanos>> tell_until_confirmed(HeldRequest& request);
-  io::Task<> tell(HeldRequest& request, int worker, bool on_new_connection,
-                  std::optional<io::Nanos>& confirmed);
-  std::vector<ReleaseCandidate> candidates(const HeldRequest& request) const;
+  io::Task<std::optional<io::Nanos>> tell_until_confirmed(KvLease& lease);
+  io::Task<> tell(KvLease& lease, int worker, bool on_new_connection, std::optional<io::Nanos>& confirmed);
+  std::vector<ReleaseCandidate> candidates(const KvLease& lease) const;
   const Link* find(const HoldWorker& worker) const;
-  void gather_evidence(HeldRequest& request);
+  void gather_evidence(KvLease& lease);
   io::Task<> tell_at(std::shared_ptr<http::Pool> pool, std::string text);
 
   io::Loop& loop_;
@@ -92,17 +84,20 @@
   core::Invariants& invariants_;
   TraceWriter& traces_;
   const io::Nanos limit_;
-  std::function<void(HeldRequest&)> released_;
+  std::function<void(const KvLease&)> released_;
   struct Due {
     io::Nanos at{};
-    std::weak_ptr<HeldRequest> request;
+    std::weak_ptr<KvLease> lease;
   };
   struct Later {
     bool operator()(const Due& a, const Due& b) const { return a.at > b.at; }
   };
   std::priority_queue<Due, std::vector<Due>, Later> due_;  // the earliest first
-  std::vector<std::shared_ptr<HeldRequest>> releases_;     // those that a task has
+  io::Signal earlier_due_;
+  std::vector<std::shared_ptr<KvLease>> leases_;  // those that may cover something, or that a task has
   io::Nanos hurries_until_{kNever};
+  bool cancelled_{};
+  io::Scope clock_;  // nothing is released without it
   io::Scope tasks_;
   io::Scope calls_;  // of release_at()
 };
--- a/src/kv_hold.cpp
+++ b/src/kv_hold.cpp
@@ -43,10 +43,10 @@
 
 const char* word(HoldEvent event) {
   static constexpr const char* words[] = {
-      "prefill_written", "prefill_refused", "prefill_done",      "prefill_failed",
-      "prefill_lost",    "decode_written",  "decode_not_run",    "decode_answered",
-      "decode_lost",     "decode_begun",    "cache_missing",     "release_wanted",
-      "request_over",    "release_asked",   "release_confirmed", "release_given_up"};
+      "prefill_written",   "prefill_refused", "prefill_done",    "prefill_failed", "prefill_lost",
+      "decode_written",    "decode_not_run",  "decode_answered", "decode_lost",    "decode_begun",
+      "cache_missing",     "release_wanted",  "request_over",    "request_gone",   "release_asked",
+      "release_confirmed", "release_given_up"};
   return words[static_cast<int>(event)];
 }
 
@@ -173,11 +173,13 @@
       if (owed() && !over_) release_.wanted_at = now;
       return true;
     case HoldEvent::request_over:
-      over_ = true;
-      taken_ = false;
-      // No prefill is taken as running for a request that needs none.
-      evidence_.since = std::min(evidence_.since, now);
-      release_.at_once = owed();
+      request_ended(now);
+      return true;
+    case HoldEvent::request_gone:
+      if (over_ && std::ranges::all_of(attempts_, &Attempt::lost)) return true;  // nothing new
+      for (Attempt& attempt : attempts_)
+        if (!attempt.lost) lost(attempt, now);
+      request_ended(now);
       return true;
     case HoldEvent::release_asked:
       if (!owed()) return false;
@@ -194,6 +196,14 @@
   }
 }
 
+void KvHold::request_ended(Nanos now) {
+  over_ = true;
+  taken_ = false;
+  // No prefill is taken as running for a request that needs none.
+  evidence_.since = std::min(evidence_.since, now);
+  release_.at_once = owed();
+}
+
 bool KvHold::release_confirmed(Nanos written) {
   const bool newer = evidence_.left && evidence_.heard > written;
   const bool awaited = std::ranges::any_of(attempts_, [](const Attempt& a) { return !a.prefill && !a.lost; });
--- a/src/kv_hold.h
+++ b/src/kv_hold.h
@@ -67,6 +67,7 @@
   cache_missing,      // its worker answered that the KV cache is gone
   release_wanted,     // no attempt that is out needs what is held, and a further one may follow at once
   request_over,       // it has its final answer, or its client has left, and no attempt needs what is held
+  request_gone,       // the same, and no attempt of it will report its end any more
   release_asked,      // a release begins
   release_confirmed,  // a worker has answered it (see release_confirmed())
   release_given_up,   // none did for so long that whatever was held is lost with its worker
@@ -163,6 +164,7 @@
   };
   void written(const Attempt& attempt, Nanos runs_for);
   void lost(Attempt& attempt, Nanos now);
+  void request_ended(Nanos now);
   bool prefill_ended(HoldEvent event, Nanos now);
   bool decode_ended(HoldEvent event, Nanos now, Nanos attempt_written);
   bool may_be_held() const;
