Releases are told to workers that drain as well: no ready one may be in reach

What callers saw: KV cache held for good while all ready workers were silent and a draining one ran (6,020 ms at limits of 300, 500 and 1,000 ms in the new case of tests/silent_link_test.cpp, as long as the test looks; it failed before). Cause: KvReleaser::candidates() asked Fleet::ready() alone, although any running worker accepts a release and one that drains may run for minutes. Change: Fleet::running(); release_plan tells draining workers behind ready ones that were told as often. Two further cases of large fleets (kept connections silent at 40 workers, four in five workers silent) passed before.

--- a/router/fleet.cpp
+++ b/router/fleet.cpp
@@ -140,6 +140,13 @@
   return out;
 }
 
+std::vector<int> Fleet::running() const {
+  std::vector<int> out;
+  for (std::size_t i = 0; i < links_.size(); ++i)
+    if (links_[i] && links_[i]->listed.standing != Standing::gone) out.push_back(static_cast<int>(i));
+  return out;
+}
+
 core::WorkerList Fleet::whole() const {
   core::WorkerList out{version_, true, {}};
   for (const auto& link : links_)
--- a/router/fleet.h
+++ b/router/fleet.h
@@ -53,6 +53,8 @@
   void forget(int worker);
   // Those that are listed as ready.
   std::vector<int> ready() const;
+  // Those that are listed as ready or draining: by the list, their processes run.
+  std::vector<int> running() const;
   // Null where a worker was forgotten.
   const std::vector<std::unique_ptr<Link>>& links() const { return links_; }
   Role role(int worker) const;
--- a/router/kv_releaser.cpp
+++ b/router/kv_releaser.cpp
@@ -314,16 +314,18 @@
   lease.changed.notify();
 }
 
-// The ready workers, and those that hold something or may.
+// The workers that run by the list, and those that hold something or may.
 std::vector<ReleaseCandidate> KvReleaser::candidates(const KvLease& lease) const {
   std::vector<ReleaseCandidate> out;
   const auto add = [&](int worker) {
     const Link& link = fleet_.at(worker);
     const bool heard_lately = link.heard > 0 && loop_.now() - link.heard <= limit_;
-    return &out.emplace_back(ReleaseCandidate{
-        .worker = worker, .heard = link.heard, .connected = heard_lately && link.pool->has_rested()});
+    return &out.emplace_back(ReleaseCandidate{.worker = worker,
+                                              .heard = link.heard,
+                                              .drains = link.not_ready_since > 0,
+                                              .connected = heard_lately && link.pool->has_rested()});
   };
-  for (const int worker : fleet_.ready()) add(worker);
+  for (const int worker : fleet_.running()) add(worker);
   const auto candidate = [&](const HoldWorker& worker) {
     const auto listed = std::ranges::find(out, worker.index, &ReleaseCandidate::worker);
     return listed != out.end() ? &*listed : add(worker.index);
--- a/src/release_plan.cpp
+++ b/src/release_plan.cpp
@@ -17,6 +17,7 @@
   return *std::ranges::min_element(candidates, [](const ReleaseCandidate& a, const ReleaseCandidate& b) {
     if (a.told != b.told) return a.told < b.told;
     if (a.awaited != b.awaited) return a.awaited;
+    if (a.drains != b.drains) return b.drains;
     if (a.connected != b.connected) return a.connected;
     return a.heard > b.heard;
   });
--- a/src/release_plan.h
+++ b/src/release_plan.h
@@ -13,12 +13,13 @@
   int worker{};
   Nanos heard{};     // when an answer of it came last
   int told{};        // how often it was told of this release
+  bool drains{};     // it takes no new work, but releases as well as any other while it runs
   bool awaited{};    // a lost attempt is not known to be over there: of a prefill its answer is proof
   bool connected{};  // it was heard lately, and a connection that is kept to it can be used
 };
 
-// The next one to tell: those told least first, among them those whose answer is awaited, then those that cost no connection,
-// then the one that was heard of last. Not of an empty list.
+// The next one to tell: those told least first, among them those whose answer is awaited, then those that do not drain, then
+// those that cost no connection, then the one that was heard of last. Not of an empty list.
 const ReleaseCandidate& next_to_tell(const std::vector<ReleaseCandidate>& candidates);
 
 // A connection that was kept may have fallen silent while its worker runs: each second call uses a new one.
--- a/tests/silent_link_test.cpp
+++ b/tests/silent_link_test.cpp
@@ -110,6 +110,83 @@
   }
 }
 
+// One attempt of each stage, which is waited for until the client's deadline.
+TEST_CASE("many workers, kept connections to all of them silent, new ones not: a release is heard in time") {
+  for (const int limit_ms : {300, 500, 1000}) {
+    CAPTURE(limit_ms);
+    json settings = with_limit(limit_ms);
+    settings["caps"]["attemptsCap"] = 2;
+    Site s(20, 20, settings, 1024);
+    warm(s, 200);
+    HoldWatch watch(s, HoldWatch::While::unattended);
+    const auto silence_kept = [&s](bool reads) {
+      for (auto& w : s.workers)
+        if (w->reads == reads) w->cut_connections = w->connections;
+    };
+    silence_kept(false);
+    SUBCASE("decode attempts are out on such connections") {
+      send_some(s, 6, "4800");
+      silence_kept(true);
+    }
+    SUBCASE("the answers of prefills are lost on such connections") {
+      for (auto& w : s.workers)
+        if (w->reads) w->acts = std::deque<Act>(20, {"", Act::Then::hold, 20 * kMs, false, true});
+      send_some(s, 6, "4800");
+      silence_kept(true);
+    }
+    s.pass(6000);
+    check_held(watch, limit_ms * kMs);
+    CHECK(s.states.empty());
+  }
+}
+
+TEST_CASE("four in five workers of each role silent: a release is heard by one of the others in time") {
+  for (const int limit_ms : {300, 500, 1000}) {
+    CAPTURE(limit_ms);
+    json settings = with_limit(limit_ms);
+    settings["caps"]["attemptsCap"] = 2;
+    Site s(20, 20, settings, 1024);
+    warm(s, 200);
+    HoldWatch watch(s, HoldWatch::While::unattended);
+    const auto silence = [&s](bool reads) {
+      std::size_t seen = 0;
+      for (auto& w : s.workers)
+        if (w->reads == reads) w->cut = ++seen % 5 != 0;
+    };
+    silence(false);
+    SUBCASE("decode attempts are out there") {
+      send_some(s, 6, "4800");
+      silence(true);
+    }
+    SUBCASE("the answers of prefills are lost") {
+      for (auto& w : s.workers)
+        if (w->reads) w->acts = std::deque<Act>(20, {"", Act::Then::hold, 20 * kMs, false, true});
+      send_some(s, 6, "4800");
+      silence(true);
+    }
+    s.pass(6000);
+    check_held(watch, limit_ms * kMs);
+    CHECK(s.states.empty());
+  }
+}
+
+TEST_CASE("no ready worker is in reach, and one that drains is: it is told within the limit") {
+  for (const int limit_ms : {300, 500, 1000}) {
+    CAPTURE(limit_ms);
+    Site s(2, 3, with_limit(limit_ms));
+    warm(s);
+    HoldWatch watch(s);
+    cut_writers(s);
+    send_some(s, 2, "3000");
+    s.until([&] { return !s.states.empty(); });
+    s.agent.put(Site::target(s.worker("writer-2"), "draining"));
+    cut_all_but(s, "writer-2");
+    s.pass(6000);
+    check_held(watch, limit_ms * kMs);
+    CHECK(s.states.empty());
+  }
+}
+
 TEST_CASE("links that pass again bring what was buffered: nothing stays held, and each request is answered") {
   for (const int silent_ms : {150, 700, 1500, 2500}) {
     CAPTURE(silent_ms);
