A process that ends goes on releasing while a call may still be heard, for 3 s at the most

Cause: KvReleaser::owes() took the end of the limit for the end of the debt, and calls grew up to 0.8 s apart meanwhile. Where every call fails at once, no worker is there, and the limit is waited for at most, as before (the case of workers that all are gone holds).

--- a/router/kv_lease.h
+++ b/router/kv_lease.h
@@ -30,6 +30,7 @@
   io::Nanos due_at{kNever};              // when it is looked at next
   io::Nanos asked_at{};                  // when its latest release began
   int releases_confirmed{};
+  int calls_open{};    // of the release that goes on: those that a worker may still hear, timed out or not
   bool releasing{};    // a task of the releaser has it
   bool violated{};     // was counted as held too long
   io::Signal changed;  // for that task,
--- a/router/kv_releaser.cpp
+++ b/router/kv_releaser.cpp
@@ -152,11 +152,12 @@
   tasks_.spawn(release(lease));
 }
 
-// A release that no worker has confirmed within the limit may never be: the process does not wait for it.
+// Where each call has failed at once, no worker is there that could hear one, and the limit's end is waited for at most.
 bool KvReleaser::owes() const {
   if (loop_.now() >= hurries_until_) return false;
   return std::ranges::any_of(leases_, [&](const auto& lease) {
-    return lease->hold.owed() && loop_.now() < lease->hold.limit_ends();
+    const bool may_be_heard = loop_.now() < lease->hold.limit_ends() || lease->calls_open > 0;
+    return lease->hold.owed() && may_be_heard;
   });
 }
 
@@ -267,6 +268,7 @@
 io::Task<std::optional<io::Nanos>> KvReleaser::tell_until_confirmed(KvLease& lease) {
   std::optional<io::Nanos> confirmed;
   std::unordered_map<int, int> told;
+  lease.calls_open = 0;
   io::Scope calls(loop_);
   const auto over = [&] { return confirmed.has_value() || lease.hold.state() != HoldState::releasing; };
   const io::Nanos until = loop_.now() + kReleaseTriedFor;
@@ -276,6 +278,7 @@
     if (!workers.empty()) {
       const ReleaseCandidate& next = next_to_tell(workers);
       ++told[next.worker];
+      ++lease.calls_open;
       calls.spawn(tell(lease, next.worker, needs_new_connection(next), confirmed));
     }
     const io::Nanos began = loop_.now();
@@ -306,6 +309,7 @@
       co_await io::within(loop_, loop_.now() + release_call_timeout(limit_),
                           http::exchange(link.pool, lease.talk->release(0, link.listed.address), still_wanted,
                                          on_new_connection ? http::Reuse::never : http::Reuse::allowed));
+  if (answer) --lease.calls_open;
   if (!answer || !answer->ok() || answer->head.status / 100 != 2) co_return;
   if (find(told) != nullptr) fleet_.at(worker).answered(written, loop_.now());
   lease.trace.add(
--- a/tests/shutdown_test.cpp
+++ b/tests/shutdown_test.cpp
@@ -1,6 +1,6 @@
 // The end of a process: what is still owed when it is told to end, and the orders in which that can cross with what comes.
+#include "hold_watch.h"
 #include "raw_server.h"
-#include "site.h"
 
 namespace cressrill::testing {
 
@@ -30,6 +30,32 @@
   CHECK(s.loop.now() - over <= s.placement->station.deployment.pin_limit);
 }
 
+// Guards against an exit while a release may still reach a worker: SIGKILL comes 3.7 s after SIGTERM at the earliest.
+TEST_CASE(
+    "a process that ends while all links are silent for longer than the limit releases once they pass") {
+  for (const int limit_ms : {300, 500, 1000}) {
+    CAPTURE(limit_ms);
+    Site s(2, 2, with_limit(limit_ms));
+    warm(s);
+    for (auto& w : s.workers) w->cut = !w->reads;
+    send_some(s, 2, "600");
+    s.until([&] { return s.states.size() == 2; });
+    for (auto& w : s.workers) w->cut = true;
+    const io::Nanos told_to_end = s.loop.now();
+    s.node->announce_end();
+    s.pass(450);
+    s.node->drain();
+    s.pass(100);
+    s.node->close();
+    s.until([&] { return s.node->settled() || s.loop.now() - told_to_end >= 2800 * kMs; });
+    CHECK(!s.node->settled());
+    for (auto& w : s.workers) w->cut = false, w->cut_connections = w->connections;
+    s.until([&] { return s.node->settled() || s.loop.now() - told_to_end >= 3700 * kMs; });
+    CHECK(s.node->settled());
+    CHECK(s.states.empty());
+  }
+}
+
 // Guards against a request that the machine has accepted and that nobody reads: its connection would be reset.
 TEST_CASE("a connection that the machine accepted before the listener closes is answered") {
   Site s(1, 1);
