Fix: what a prefill left stays held for good where it is answered 400 or 404

What callers saw: KV cache of a request is held at its prefill worker for good; no further attempt follows, nothing is released, and the log at warn is silent. The client gets 400 at once.

Cause: router/host.cpp, hold_event(). 400 and 404 are passed to the client as a refusal (Outcome::generated), and such an end of a prefill was noted as prefill_refused: "it never ran". The protocol promises that of 503 and 504 with X-Rejected alone; an answer that was spoilt on its way promises nothing. It is now noted as prefill_failed, so that the request's end releases what may be left: one DELETE for each prefill that is refused so.

--- a/router/host.cpp
+++ b/router/host.cpp
@@ -32,8 +32,9 @@
     case Outcome::no_state:
       return reads ? HoldEvent::prefill_failed : HoldEvent::cache_missing;
     case Outcome::full:
-    case Outcome::generated:  // refused, with an answer that is the client's
       return reads ? HoldEvent::prefill_refused : HoldEvent::decode_answered;
+    case Outcome::generated:  // refused, with an answer that is the client's: no promise that nothing has run
+      return reads ? HoldEvent::prefill_failed : HoldEvent::decode_answered;
     default:
       break;
   }
