Fix: a prefill whose answer does not end is taken as running though the answer's head has come

What callers saw: KV cache held past its limit (895 ms where 600 are allowed, limit 300 ms) after a prefill whose answer was spoilt into one that never ends: fewer bytes than its length, chunks without an end, a stream, a head alone.

Cause: where prefills were slow before, one that is out is taken as running until it is late (AttemptLimits::runs_for), and KvHold heard of its end with the whole answer only (router/host.cpp, attempt(): rest() waits after head()). The head proves that the prefill has ended. It is told now, where a body is to follow (HoldEvent::prefill_answered), and the limit counts from then at the latest. Nothing else follows from it: the attempt is waited for as before.

The known red case, an answer of which nothing comes, is untouched and still open.

--- a/router/host.cpp
+++ b/router/host.cpp
@@ -382,6 +382,7 @@
     }
     fault == http::Fault::closed ? lease.lost() : lease.answered();  // what cannot be read came all the same
     if (fault != http::Fault::none) co_return end(*ask, k, lost(fault));
+    if (run.reads && lease->reader->more()) note_kv(*ask, HoldEvent::prefill_answered, k);
     const Report report = protocol_.load(head);
     if (run.reads || head.status != 200) {
       std::string body;
--- a/src/kv_hold.cpp
+++ b/src/kv_hold.cpp
@@ -43,10 +43,10 @@
 
 const char* word(HoldEvent event) {
   static constexpr const char* words[] = {
-      "prefill_written", "prefill_refused", "prefill_done",      "prefill_failed",
-      "prefill_lost",    "decode_written",  "decode_not_run",    "decode_answered",
-      "decode_lost",     "decode_begun",    "cache_missing",     "release_wanted",
-      "request_over",    "release_asked",   "release_confirmed", "release_given_up"};
+      "prefill_written",   "prefill_refused", "prefill_done",   "prefill_failed",  "prefill_answered",
+      "prefill_lost",      "decode_written",  "decode_not_run", "decode_answered", "decode_lost",
+      "decode_begun",      "cache_missing",   "release_wanted", "request_over",    "release_asked",
+      "release_confirmed", "release_given_up"};
   return words[static_cast<int>(event)];
 }
 
@@ -78,6 +78,10 @@
     lost(*ended, now);
     return true;
   }
+  if (event == HoldEvent::prefill_answered) {
+    evidence_.since = std::min(evidence_.since, now);
+    return true;
+  }
   const Nanos attempt_written = ended->written;
   attempts_.erase(ended);
   return of_prefill ? prefill_ended(event, now) : decode_ended(event, now, attempt_written);
--- a/src/kv_hold.h
+++ b/src/kv_hold.h
@@ -13,6 +13,8 @@
 //   not passed                     runs_for below)
 //   a prefill was answered         it has ended, and KV cache is held, unless the    that it ended just now: its answer may
 //                                  answer says that it never ran                    have been under way; anything of others
+//   the head of a prefill's        it has ended, and may have left some             that the rest comes
+//   answer has come
 //   a decode attempt was answered  it has ended                                     the same; that what it waited for is gone
 //   a decode answer has begun      it has taken what was held when it began         that it is still out; that no prefill ends
 //                                                                                   later; anything of others
@@ -58,6 +60,7 @@
   prefill_refused,    // it never ran
   prefill_done,       // its worker said so
   prefill_failed,     // its worker answered something else: it has ended, and may have left something
+  prefill_answered,   // the head of its answer has come, and not yet what it says: it has ended
   prefill_lost,       // it is not waited for any more, and nobody knows whether it runs, ends, or has ended
   decode_written,     // the request of a decode attempt is about to leave
   decode_not_run,     // it never left whole
--- a/tests/kv_hold_test.cpp
+++ b/tests/kv_hold_test.cpp
@@ -167,6 +167,25 @@
   }
 }
 
+TEST_CASE(
+    "a prefill whose answer's head has come has ended: it is not taken as running, whatever was expected of "
+    "it") {
+  KvHold hold = prefill_out(3000 * kMs);
+  CHECK(hold.note_attempt(Event::prefill_answered, 60 * kMs, 0));
+  CHECK(hold.state() == HoldState::maybe_held);
+  CHECK(hold.release_due() > 60 * kMs + kLimit);
+  CHECK(hold.release_due() < 60 * kMs + kMost);
+  SUBCASE("the rest of its answer comes") {
+    CHECK(hold.note_attempt(Event::prefill_done, 70 * kMs, 0));
+    CHECK(hold.state() == HoldState::held);
+    CHECK(hold.release_due() == 60 * kMs + kLimit * 3 / 4);
+  }
+  SUBCASE("the rest does not come") {
+    CHECK(hold.note_attempt(Event::prefill_lost, 500 * kMs, 0));
+    CHECK(hold.release_due() < 60 * kMs + kMost);
+  }
+}
+
 TEST_CASE("of parallel prefills the one that may end first counts") {
   KvHold hold = prefill_out(500 * kMs);
   CHECK(hold.note_attempt(Event::prefill_written, 10 * kMs, 1, {2, 102}));
--- a/tests/spoilt_answer_test.cpp
+++ b/tests/spoilt_answer_test.cpp
@@ -22,6 +22,7 @@
   Act::Then then{Act::Then::hold};
   std::string later{};
   io::Nanos behind{};
+  bool silent{};  // nothing of it tells that the prefill has ended
 };
 
 const std::string kRead = "{\"cached_tokens\":128}";
@@ -35,25 +36,30 @@
 
 // Each of them on a connection that stays open, is closed in order, or is reset.
 std::vector<Spoilt> cut_short() {
-  const std::vector<std::pair<std::string, std::string>> texts{
-      {"nothing", ""},
-      {"half a head", kHalfHead},
+  struct Text {
+    std::string name;
+    std::string text;
+    bool silent{};
+  };
+  const std::vector<Text> texts{
+      {"nothing", "", true},
+      {"half a head", kHalfHead, true},
       {"a body shorter than its length", kEndlessLength},
       {"chunks without an end", kEndlessChunks},
       {"a chunk line that is none",
        "HTTP/1.1 202 Accepted\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n{}\r\n"},
       {"garbage", kGarbage},
-      {"garbage without a line's end", std::string(64, '\x7f')},
-      {"1xx", "HTTP/1.1 100 Continue\r\n\r\n"},
-      {"1xx and half a head", "HTTP/1.1 103 Early Hints\r\n\r\n" + kHalfHead},
+      {"garbage without a line's end", std::string(64, '\x7f'), true},
+      {"1xx", "HTTP/1.1 100 Continue\r\n\r\n", true},
+      {"1xx and half a head", "HTTP/1.1 103 Early Hints\r\n\r\n" + kHalfHead, true},
       {"a stream", Worker::stream_head() + Worker::framed(Worker::event(0))},
       {"a whole stream",
        Worker::stream_head() + Worker::framed(Worker::event(0) + Worker::ending()) + "0\r\n\r\n"},
       {"a head alone", "HTTP/1.1 202 Accepted\r\n\r\n"},
   };
   std::vector<Spoilt> out;
-  for (const auto& [name, text] : texts) {
-    out.push_back({name + ", open", text, Act::Then::hold});
+  for (const auto& [name, text, silent] : texts) {
+    out.push_back({name + ", open", text, Act::Then::hold, "", 0, silent});
     out.push_back({name + ", closed", text, Act::Then::close});
     out.push_back({name + ", reset", text, Act::Then::reset});
   }
@@ -175,15 +181,12 @@
   CHECK(s.node->host().invariants().violations() == 0);
 }
 
-// Whether anything in it tells that the prefill has ended: silence is a prefill that is merely slow, where prefills are
-// (KNOWN-RED.txt: "a prefill whose answer is lost").
-bool tells(const Spoilt& spoilt) { return spoilt.then != Act::Then::hold; }
-
+// Where prefills are slow, silence is taken for one more slow one (KNOWN-RED.txt: "a prefill whose answer is lost").
 void play_some(const std::vector<Spoilt>& kinds) {
   std::size_t number = 0;
   for (const Spoilt& spoilt : kinds)
     each_setting([&](const Setting& setting) {
-      if (++number % kPlayed == 0 && (!setting.slow || tells(spoilt))) play(spoilt, setting);
+      if (++number % kPlayed == 0 && !(setting.slow && spoilt.silent)) play(spoilt, setting);
     });
 }
 
@@ -197,6 +200,16 @@
              {limit_ms, 6, true, true, "retryable", false, client, true});
 }
 
+TEST_CASE(
+    "a prefill whose answer does not end, as prefills were slow before: its limit counts from the answer's "
+    "head") {
+  for (const Spoilt& spoilt : cut_short())
+    for (const int limit_ms : {300, 500, 1000})
+      for (const bool cancelling : {true, false})
+        if (!spoilt.silent && spoilt.then == Act::Then::hold)
+          play(spoilt, {limit_ms, 4, cancelling, cancelling, "retryable", true, Client::stays, false});
+}
+
 TEST_CASE(
     "a prefill whose answer is cut short: what it left is released, and its client is answered in time") {
   play_some(cut_short());
