--- a/router/host.cpp
+++ b/router/host.cpp
@@ -32,8 +32,9 @@
     case Outcome::no_state:
       return reads ? HoldEvent::prefill_failed : HoldEvent::cache_missing;
     case Outcome::full:
-    case Outcome::generated:  // refused, with an answer that is the client's
       return reads ? HoldEvent::prefill_refused : HoldEvent::decode_answered;
+    case Outcome::generated:  // refused, with an answer that is the client's: no promise that nothing has run
+      return reads ? HoldEvent::prefill_failed : HoldEvent::decode_answered;
     default:
       break;
   }
@@ -376,6 +377,7 @@
     }
     fault == http::Fault::closed ? lease.lost() : lease.answered();  // what cannot be read came all the same
     if (fault != http::Fault::none) co_return end(*ask, k, lost(fault));
+    if (run.reads && lease->reader->more()) note_kv(*ask, HoldEvent::prefill_answered, k);
     const Report report = protocol_.load(head);
     if (run.reads || head.status != 200) {
       std::string body;
