Connections are taken with a priority, for ordinary work or a release, without effect so far

Need: a release of held KV cache takes a connection like any attempt. Where attempts stuck on silent links have all of the budget, or of a worker's bound, it finds none. Change: enum class Priority, passed through exchange(), Lease and Pool::take(), ordinary by default; KvReleaser::tell() says release. The counts of the budget and of a pool are one class, ConnectionCount. Pool::take() is parted into short functions. Measured: nothing yet; decisions on connections are as before.

--- a/http/client.cpp
+++ b/http/client.cpp
@@ -5,30 +5,62 @@
 
 namespace cressrill::http {
 
-bool ConnectionBudget::admit() {
-  if (open_ < most_) return true;
+// Typed so far, and without effect.
+bool ConnectionCount::admits(Priority) const { return true; }
+
+void ConnectionCount::subtract(const ConnectionCount& gone) {
+  open_ -= gone.open_;
+  ordinary_in_use_ -= gone.ordinary_in_use_;
+}
+
+bool ConnectionBudget::make_room() {
+  if (!count_.full()) return true;
   Pool* oldest = nullptr;
   for (Pool* p : pools_)
     if (!p->kept_.empty() && (oldest == nullptr || p->kept_.front().since < oldest->kept_.front().since))
       oldest = p;
   if (oldest == nullptr) return false;
-  oldest->kept_.pop_front();
-  oldest->dropped();
+  oldest->drop_oldest_kept();
   return true;
 }
 
 Pool::~Pool() {
   if (!bounds_.budget) return;
   std::erase(bounds_.budget->pools_, this);
-  bounds_.budget->open_ -= open_;
+  bounds_.budget->count_.subtract(count_);
+}
+
+void Pool::opened() {
+  count_.opened();
+  if (bounds_.budget) bounds_.budget->count_.opened();
 }
 
-void Pool::dropped() {
-  --open_;
-  if (bounds_.budget) --bounds_.budget->open_;
+void Pool::closed() {
+  count_.closed();
+  if (bounds_.budget) bounds_.budget->count_.closed();
   returned_.notify();
 }
 
+void Pool::use_begun(Priority priority) {
+  count_.use_begun(priority);
+  if (bounds_.budget) bounds_.budget->count_.use_begun(priority);
+}
+
+void Pool::use_ended(Priority priority) {
+  count_.use_ended(priority);
+  if (bounds_.budget) bounds_.budget->count_.use_ended(priority);
+}
+
+void Pool::dropped(Priority priority) {
+  use_ended(priority);
+  closed();
+}
+
+void Pool::drop_oldest_kept() {
+  kept_.pop_front();
+  closed();
+}
+
 void Pool::note(const Connection& connection, bool answered) {
   if (!bounds_.budget || !connection.used_before) return;
   IdleReuseTracker& reuse = bounds_.budget->idle_reuse_;
@@ -36,52 +68,73 @@
 }
 
 void Pool::drop_kept() {
-  while (!kept_.empty()) {
-    kept_.pop_front();
-    dropped();
-  }
+  while (!kept_.empty()) drop_oldest_kept();
 }
 
-io::Task<std::unique_ptr<Connection>> Pool::take(bool& crowded, Reuse reuse) {
+io::Task<std::unique_ptr<Connection>> Pool::take(bool& crowded, Reuse reuse, Priority priority) {
   const io::Nanos until = loop_.now() + bounds_.dial_timeout;
   for (;;) {
     io::Nanos rested = until;  // when the next of those that rest may be used
-    for (std::size_t i = reuse == Reuse::never ? 0 : kept_.size(); i-- > 0;) {
-      const io::Nanos stood = loop_.now() - kept_[i].since;
-      if (stood < bounds_.rest) {
-        rested = std::min(rested, kept_[i].since + bounds_.rest);
-        continue;
-      }
-      if (!worth_using(stood)) continue;
-      auto connection = std::move(kept_[i].connection);
-      connection->stood = stood;
-      kept_.erase(kept_.begin() + static_cast<std::ptrdiff_t>(i));
-      // The peer may have closed it meanwhile: seen here, nothing was sent and nothing can have run.
-      if (!connection->socket.spoiled()) {
-        connection->used_before = true;
-        co_return connection;
-      }
-      connection.reset();
-      dropped();
+    if (count_.admits(priority)) {
+      if (reuse == Reuse::allowed && budget_admits(priority))
+        if (auto connection = take_kept(priority, rested)) co_return connection;
+      if (has_room(priority)) break;
     }
-    if (open_ < bounds_.open) break;
     if (loop_.now() >= until) co_return nullptr;
     co_await io::wait_until(loop_, returned_, rested);
   }
+  if (!budget_admits(priority) || (bounds_.budget && !bounds_.budget->make_room())) {
+    crowded = true;
+    co_return nullptr;
+  }
+  co_return co_await dial(until, crowded, priority);
+}
+
+// The latest of those that are kept and of use, or none. rested: when the next of those that rest may be used.
+std::unique_ptr<Connection> Pool::take_kept(Priority priority, io::Nanos& rested) {
+  for (std::size_t i = kept_.size(); i-- > 0;) {
+    const io::Nanos stood = loop_.now() - kept_[i].since;
+    if (stood < bounds_.rest) {
+      rested = std::min(rested, kept_[i].since + bounds_.rest);
+      continue;
+    }
+    if (!worth_using(stood)) continue;
+    auto connection = std::move(kept_[i].connection);
+    connection->stood = stood;
+    kept_.erase(kept_.begin() + static_cast<std::ptrdiff_t>(i));
+    // The peer may have closed it meanwhile: seen here, nothing was sent and nothing can have run.
+    if (!connection->socket.spoiled()) {
+      connection->used_before = true;
+      connection->priority = priority;
+      use_begun(priority);
+      return connection;
+    }
+    connection.reset();
+    closed();
+  }
+  return nullptr;
+}
+
+bool Pool::has_room(Priority) { return !count_.full(); }
+
+bool Pool::budget_admits(Priority priority) const {
+  return !bounds_.budget || bounds_.budget->count_.admits(priority);
+}
+
+io::Task<std::unique_ptr<Connection>> Pool::dial(io::Nanos until, bool& crowded, Priority priority) {
   struct Counted {  // a dial that is cancelled counts no more
     Pool* pool;
+    Priority priority;
     ~Counted() {
-      if (pool != nullptr) pool->dropped();
+      if (pool != nullptr) pool->dropped(priority);
     }
   };
-  if (bounds_.budget && !bounds_.budget->admit()) {
-    crowded = true;
-    co_return nullptr;
-  }
-  ++open_, ++dialled_;
-  if (bounds_.budget) ++bounds_.budget->open_;
-  Counted counted{this};
+  opened();
+  use_begun(priority);
+  ++dialled_;
+  Counted counted{this, priority};
   auto connection = std::make_unique<Connection>();
+  connection->priority = priority;
   for (;;) {
     const auto moved = co_await io::within(loop_, until, io::connect(loop_, peer_, connection->socket));
     if (moved && moved->ok()) break;
@@ -108,9 +161,10 @@
 }
 
 void Pool::give_back(std::unique_ptr<Connection> connection) {
+  use_ended(connection->priority);
   if (kept_.size() >= bounds_.kept || connection->reader->leftover() || !connection->socket.is_open()) {
     connection.reset();
-    dropped();
+    closed();
     return;
   }
   kept_.push_back({std::move(connection), loop_.now()});
@@ -125,17 +179,16 @@
   while (!kept_.empty()) {
     co_await loop_.sleep_until(kept_.front().since + bounds_.idle_for);
     while (!kept_.empty() && kept_.front().since + bounds_.idle_for <= loop_.now()) {
-      kept_.pop_front();
-      dropped();
+      drop_oldest_kept();
     }
   }
   sweeping_ = false;
 }
 
 io::Task<Exchange> exchange(std::shared_ptr<Pool> pool, std::string text, std::function<bool()> still_wanted,
-                            Reuse reuse) {
+                            Reuse reuse, Priority priority) {
   Exchange out;
-  Lease lease(std::move(pool), reuse);
+  Lease lease(std::move(pool), reuse, priority);
   out.connected = co_await lease.take();
   if (!out.connected) co_return out;
   if (still_wanted && !still_wanted()) {
--- a/http/client.h
+++ b/http/client.h
@@ -10,9 +10,13 @@
 
 namespace cressrill::http {
 
+// For whom a connection is taken. Ordinary work leaves some room to releases, so that these never wait for it.
+enum class Priority { ordinary, release };
+
 struct Connection {
   io::Socket socket;
   std::unique_ptr<Reader> reader;
+  Priority priority{Priority::ordinary};  // of its present use
   bool used_before{};
   io::Nanos stood{};  // how long it was kept unused before this use
 };
@@ -22,20 +26,41 @@
 // Whether a connection that was kept will do. One may have fallen silent while its peer runs on.
 enum class Reuse { allowed, never };
 
+// Connections against a bound, of which ordinary work leaves some to releases. Kept ones count as open and not as in use.
+class ConnectionCount {
+ public:
+  ConnectionCount(std::size_t most, std::size_t for_releases) : most_(most), for_releases_(for_releases) {}
+  std::size_t open() const { return open_; }
+  bool full() const { return open_ >= most_; }
+  // Whether one more may be in use, be it kept or new.
+  bool admits(Priority priority) const;
+  void opened() { ++open_; }
+  void closed() { --open_; }
+  void use_begun(Priority priority) { ordinary_in_use_ += priority == Priority::ordinary; }
+  void use_ended(Priority priority) { ordinary_in_use_ -= priority == Priority::ordinary; }
+  void subtract(const ConnectionCount& gone);
+
+ private:
+  std::size_t most_;
+  std::size_t for_releases_;
+  std::size_t open_{};
+  std::size_t ordinary_in_use_{};
+};
+
 // What many pools share: a bound on their connections together, where kept ones make way for new ones, the oldest
 // first; and what is known of kept ones.
 class ConnectionBudget {
  public:
-  explicit ConnectionBudget(std::size_t most) : most_(most) {}
-  std::size_t open() const { return open_; }
+  // for_releases: so many of the most are never in use by ordinary work.
+  explicit ConnectionBudget(std::size_t most, std::size_t for_releases = 0) : count_(most, for_releases) {}
+  std::size_t open() const { return count_.open(); }
 
  private:
   friend class Pool;
   // Whether another may be opened.
-  bool admit();
+  bool make_room();
   IdleReuseTracker idle_reuse_;
-  std::size_t most_;
-  std::size_t open_{};
+  ConnectionCount count_;
   std::vector<Pool*> pools_;
 };
 
@@ -47,27 +72,35 @@
   std::shared_ptr<ConnectionBudget> budget{};  // shared with other pools; none: no such bound
   io::Nanos
       rest{};  // a kept connection is not used again before: a peer's second answer would pass for the next one's
+  std::size_t for_releases{};  // so many of those open are never in use by ordinary work
 };
 
 class Pool {
  public:
   Pool(io::Loop& loop, io::Address peer, PoolBounds bounds = {})
-      : loop_(loop), peer_(peer), bounds_(std::move(bounds)), returned_(loop), sweeper_(loop) {
+      : loop_(loop),
+        peer_(peer),
+        bounds_(std::move(bounds)),
+        count_(bounds_.open, bounds_.for_releases),
+        returned_(loop),
+        sweeper_(loop) {
     if (bounds_.budget) bounds_.budget->pools_.push_back(this);
   }
   ~Pool();
 
   // A connection that is open as far as can be told, or none: it could not be made in time or, where crowded is set,
   // there was no room for it on this side.
-  io::Task<std::unique_ptr<Connection>> take(bool& crowded, Reuse reuse = Reuse::allowed);
+  io::Task<std::unique_ptr<Connection>> take(bool& crowded, Reuse reuse = Reuse::allowed,
+                                             Priority priority = Priority::ordinary);
   // A connection whose last response was read to its end. Others are dropped instead.
   void give_back(std::unique_ptr<Connection> connection);
-  void dropped();
+  // A connection that was taken has been closed.
+  void dropped(Priority priority);
   void note(const Connection& connection, bool answered);
   // Closes what is kept and not in use.
   void drop_kept();
   io::Address peer() const { return peer_; }
-  std::size_t open() const { return open_; }
+  std::size_t open() const { return count_.open(); }
   std::size_t kept() const { return kept_.size(); }
   // Whether one that is kept can be used now.
   bool has_rested() const;
@@ -81,12 +114,21 @@
     std::unique_ptr<Connection> connection;
     io::Nanos since;
   };
+  std::unique_ptr<Connection> take_kept(Priority priority, io::Nanos& rested);
+  bool has_room(Priority priority);
+  bool budget_admits(Priority priority) const;
+  io::Task<std::unique_ptr<Connection>> dial(io::Nanos until, bool& crowded, Priority priority);
+  void opened();
+  void closed();
+  void use_begun(Priority priority);
+  void use_ended(Priority priority);
+  void drop_oldest_kept();
   io::Task<> sweep();
   io::Loop& loop_;
   io::Address peer_;
   PoolBounds bounds_;
   std::deque<Kept> kept_;
-  std::size_t open_{};
+  ConnectionCount count_;
   std::size_t dialled_{};
   bool sweeping_{};
   io::Signal returned_;
@@ -96,13 +138,14 @@
 // Takes a connection for one exchange and settles with the pool whatever becomes of it.
 class Lease {
  public:
-  explicit Lease(std::shared_ptr<Pool> pool, Reuse reuse = Reuse::allowed)
-      : pool_(std::move(pool)), reuse_(reuse) {}
+  explicit Lease(std::shared_ptr<Pool> pool, Reuse reuse = Reuse::allowed,
+                 Priority priority = Priority::ordinary)
+      : pool_(std::move(pool)), reuse_(reuse), priority_(priority) {}
   ~Lease() { drop(); }
   Lease(const Lease&) = delete;
   Lease& operator=(const Lease&) = delete;
   io::Task<bool> take() {
-    connection_ = co_await pool_->take(crowded_, reuse_);
+    connection_ = co_await pool_->take(crowded_, reuse_, priority_);
     co_return connection_ != nullptr;
   }
   // Its use brought an answer, or broke before any byte of one.
@@ -118,13 +161,14 @@
   void drop() {
     if (!connection_) return;
     connection_.reset();
-    pool_->dropped();
+    pool_->dropped(priority_);
   }
 
  private:
   std::shared_ptr<Pool> pool_;
   std::unique_ptr<Connection> connection_;
   Reuse reuse_;
+  Priority priority_;
   bool crowded_{};
 };
 
@@ -139,6 +183,7 @@
 };
 // still_wanted, where given, is asked once the connection is made: where it denies, nothing is sent.
 io::Task<Exchange> exchange(std::shared_ptr<Pool> pool, std::string text,
-                            std::function<bool()> still_wanted = {}, Reuse reuse = Reuse::allowed);
+                            std::function<bool()> still_wanted = {}, Reuse reuse = Reuse::allowed,
+                            Priority priority = Priority::ordinary);
 
 }  // namespace cressrill::http
--- a/router/kv_releaser.cpp
+++ b/router/kv_releaser.cpp
@@ -242,7 +242,7 @@
   const auto answer = co_await io::within(
       loop_, loop_.now() + release_call_timeout(limit_),
       http::exchange(link.pool, request.talk->release(0, link.listed.address), still_wanted,
-                     on_new_connection ? http::Reuse::never : http::Reuse::allowed));
+                     on_new_connection ? http::Reuse::never : http::Reuse::allowed, http::Priority::release));
   if (!answer || !answer->ok() || answer->head.status / 100 != 2) co_return;
   if (find(told) != nullptr) fleet_.at(worker).answered(written, loop_.now());
   request.trace.add(
