Failing tests: releases that find no connection while attempts have them all

Need: a release takes a connection like any attempt, and none is left where attempts that stand still have all of the budget, or all that the one worker in reach may have.

--- a/tests/pool_test.cpp
+++ b/tests/pool_test.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-constexpr std::size_t kMost = 4;
+constexpr std::size_t kMost = 4;         // connections,
+constexpr std::size_t kForReleases = 1;  // of them never in use by ordinary work
 
 http::PoolBounds bounds_with(std::shared_ptr<http::ConnectionBudget> budget) {
   http::PoolBounds bounds;
@@ -16,6 +17,36 @@
   return bounds;
 }
 
+// Keeps what it takes until the end.
+struct Holder {
+  explicit Holder(io::Loop& loop) : scope(loop) {}
+  void take(std::shared_ptr<http::Pool> from, http::Priority priority, std::size_t times = 1) {
+    for (std::size_t i = 0; i < times; ++i)
+      scope.spawn([](std::shared_ptr<http::Pool> pool, http::Priority p, int& n) -> io::Task<> {
+        http::Lease lease(std::move(pool), http::Reuse::allowed, p);
+        if (!co_await lease.take()) co_return;
+        ++n;
+        co_await lease->socket.peer_gone();
+      }(from, priority, taken));
+  }
+  int taken{};
+  io::Scope scope;
+};
+
+// Takes a connection and gives it back.
+bool takes(io::Loop& loop, std::shared_ptr<http::Pool> from, http::Priority priority,
+           http::Reuse reuse = http::Reuse::allowed) {
+  bool took = false;
+  io::Scope scope(loop);
+  scope.spawn([](std::shared_ptr<http::Pool> pool, http::Priority p, http::Reuse r, bool& t) -> io::Task<> {
+    http::Lease lease(std::move(pool), r, p);
+    t = co_await lease.take();
+    if (t) lease.keep();
+  }(std::move(from), priority, reuse, took));
+  loop.run_until([&] { return scope.empty(); });
+  return took;
+}
+
 }  // namespace
 
 TEST_CASE("a connection whose making is cancelled gives its room back") {
@@ -59,4 +90,67 @@
   }
 }
 
+// Guards against a release that finds no connection while attempts are stuck on silent links.
+TEST_CASE(
+    "ordinary work that holds all it gets of a budget leaves room for a release, and none beyond the "
+    "budget") {
+  io::Loop loop(io::Loop::Time::handed);
+  RawServer silent, reachable;
+  const auto budget = std::make_shared<http::ConnectionBudget>(kMost, kForReleases);
+  const auto stuck = std::make_shared<http::Pool>(loop, silent.address(), bounds_with(budget));
+  const auto other = std::make_shared<http::Pool>(loop, reachable.address(), bounds_with(budget));
+  Holder attempts(loop), releases(loop);
+  attempts.take(stuck, http::Priority::ordinary, 2 * kMost);
+  pass(loop, 300);
+  CHECK(attempts.taken == kMost - kForReleases);
+  CHECK(takes(loop, other, http::Priority::release));
+  // What a release gave back is not taken by an attempt, which would use up the room of the next one.
+  attempts.take(other, http::Priority::ordinary, kMost);
+  pass(loop, 300);
+  CHECK(attempts.taken == kMost - kForReleases);
+  releases.take(other, http::Priority::release, 2 * kMost);
+  pass(loop, 300);
+  CHECK(releases.taken == kForReleases);
+  CHECK(budget->open() == kMost);
+}
+
+TEST_CASE(
+    "ordinary work that holds all it gets of one peer's bound leaves room for a release, and none beyond "
+    "it") {
+  io::Loop loop(io::Loop::Time::handed);
+  RawServer server;
+  http::PoolBounds bounds;
+  bounds.open = kMost, bounds.for_releases = kForReleases;
+  const auto pool = std::make_shared<http::Pool>(loop, server.address(), bounds);
+  Holder attempts(loop), releases(loop);
+  attempts.take(pool, http::Priority::ordinary, 2 * kMost);
+  pass(loop, 300);
+  CHECK(attempts.taken == kMost - kForReleases);
+  CHECK(takes(loop, pool, http::Priority::release));
+  attempts.take(pool, http::Priority::ordinary, kMost);
+  pass(loop, 300);
+  CHECK(attempts.taken == kMost - kForReleases);
+  releases.take(pool, http::Priority::release, 2 * kMost);
+  pass(loop, 300);
+  CHECK(releases.taken == kForReleases);
+  CHECK(pool->open() == kMost);
+}
+
+// Guards against a release that waits while idle connections fill its peer's bound.
+TEST_CASE("a release takes the place of a kept connection that it cannot use") {
+  io::Loop loop(io::Loop::Time::handed);
+  RawServer server;
+  http::PoolBounds bounds;
+  bounds.open = 1, bounds.rest = io::kSecond;
+  const auto pool = std::make_shared<http::Pool>(loop, server.address(), bounds);
+  CHECK(takes(loop, pool, http::Priority::ordinary));
+  for (const http::Reuse reuse : {http::Reuse::allowed, http::Reuse::never}) {
+    CHECK(pool->kept() == 1);
+    const io::Nanos began = loop.now();
+    CHECK(takes(loop, pool, http::Priority::release, reuse));
+    CHECK(loop.now() - began < io::kMs);
+    CHECK(pool->open() == 1);
+  }
+}
+
 }  // namespace cressrill::testing
