Ordinary work leaves connections to releases

Cause: Pool::take() waited at the bound of a worker, and ConnectionBudget denied, whoever asked. Change: counted reserves inside the bounds, so that neither the descriptors' limit nor what a worker is said to hold is exceeded: an eighth of the connections to all workers, 1 to 8, and one of those to each worker, where the bound is at least 4; under 4 there is none. A kept connection that a release gave back is not taken by ordinary work past its part. At a worker's bound a release takes the place of a kept connection that it cannot use. Measured: pool_test.cpp passes (20 cases).

--- a/http/client.cpp
+++ b/http/client.cpp
@@ -5,8 +5,9 @@
 
 namespace cressrill::http {
 
-// Typed so far, and without effect.
-bool ConnectionCount::admits(Priority) const { return true; }
+bool ConnectionCount::admits(Priority priority) const {
+  return priority == Priority::release || ordinary_in_use_ + for_releases_ < most_;
+}
 
 void ConnectionCount::subtract(const ConnectionCount& gone) {
   open_ -= gone.open_;
@@ -115,7 +116,11 @@
   return nullptr;
 }
 
-bool Pool::has_room(Priority) { return !count_.full(); }
+// At the bound a release takes the place of a connection that is kept and of no use to it.
+bool Pool::has_room(Priority priority) {
+  if (count_.full() && priority == Priority::release && !kept_.empty()) drop_oldest_kept();
+  return !count_.full();
+}
 
 bool Pool::budget_admits(Priority priority) const {
   return !bounds_.budget || bounds_.budget->count_.admits(priority);
--- a/router/fleet.cpp
+++ b/router/fleet.cpp
@@ -14,13 +14,26 @@
   const auto it = std::ranges::find(names, name);
   return it == names.end() ? -1 : static_cast<int>(it - names.begin());
 }
+
+// Connections that ordinary work leaves to releases, inside the bounds: of those to all workers one in so many, and of those
+// to each worker some. A bound of a few has none to spare.
+constexpr std::size_t kOneForReleasesIn = 8, kMostForReleases = 8;
+constexpr std::size_t kForReleasesToEach = 1;
+constexpr std::size_t kLeastShared = 4;
+
+std::size_t for_releases_to_all(std::size_t most) {
+  if (most < kLeastShared) return 0;
+  return std::clamp<std::size_t>(most / kOneForReleasesIn, 1, kMostForReleases);
+}
+std::size_t for_releases_to_each(std::size_t most) { return most < kLeastShared ? 0 : kForReleasesToEach; }
+
 }  // namespace
 
 Fleet::Fleet(io::Loop& loop, const core::Station& station, core::Log& log)
     : loop_(loop), station_(station), log_(log) {
-  const std::size_t most = station.all_engine_connections;
-  budget_ =
-      std::make_shared<http::ConnectionBudget>(most > 0 ? most : std::numeric_limits<std::size_t>::max());
+  const std::size_t most = station.all_engine_connections > 0 ? station.all_engine_connections
+                                                              : std::numeric_limits<std::size_t>::max();
+  budget_ = std::make_shared<http::ConnectionBudget>(most, for_releases_to_all(most));
 }
 
 Role Fleet::role(int worker) const {
@@ -55,7 +68,7 @@
     link.pool = std::make_shared<http::Pool>(
         loop_, *address,
         http::PoolBounds{station_.dial_timeout, station_.idle_for, 256, station_.engine_connections, budget_,
-                         station_.rest_for});
+                         station_.rest_for, for_releases_to_each(station_.engine_connections)});
   }
   link.kind = kind, link.zone = zone;
   link.cell = cells_.try_emplace(listed.cell, static_cast<int>(cells_.size())).first->second;
