A release that finds no room takes the place of the one that has stood longest

Cause: releases to silent workers each keep a connection for half the limit, 300 ms at least, so that a few used up what ordinary work leaves, and none was left for the worker in reach. Change: at the bound over all workers a release ends the release that has been out longest, where that is 20 ms or more: by then it has arrived, or its link is silent. What it may have done is confirmed by a later one. An attempt is never ended so. In a dial nothing is ended: a connection that does not come up keeps its room for the dial time-out.

--- a/http/client.cpp
+++ b/http/client.cpp
@@ -5,6 +5,13 @@
 
 namespace cressrill::http {
 
+namespace {
+
+// A release that has no answer after so long makes way for another one: it has most likely arrived, or its link is silent.
+constexpr io::Nanos kReleaseYieldsAfter = 20 * io::kMs;
+
+}  // namespace
+
 bool ConnectionCount::admits(Priority priority) const {
   return priority == Priority::release || ordinary_in_use_ + for_releases_ < most_;
 }
@@ -14,8 +21,12 @@
   ordinary_in_use_ -= gone.ordinary_in_use_;
 }
 
-bool ConnectionBudget::make_room() {
-  if (!count_.full()) return true;
+bool ConnectionBudget::make_room(Priority priority, io::Nanos now) {
+  if (!count_.full() || end_oldest_kept()) return true;
+  return priority == Priority::release && end_oldest_release(now);
+}
+
+bool ConnectionBudget::end_oldest_kept() {
   Pool* oldest = nullptr;
   for (Pool* p : pools_)
     if (!p->kept_.empty() && (oldest == nullptr || p->kept_.front().since < oldest->kept_.front().since))
@@ -25,6 +36,13 @@
   return true;
 }
 
+// Guards against releases to silent workers that leave no connection to the one in reach.
+bool ConnectionBudget::end_oldest_release(io::Nanos now) {
+  if (releases_.empty() || now - releases_.front().since < kReleaseYieldsAfter) return false;
+  releases_.front().pool->yield(*releases_.front().connection);
+  return true;
+}
+
 Pool::~Pool() {
   if (!bounds_.budget) return;
   std::erase(bounds_.budget->pools_, this);
@@ -57,13 +75,39 @@
   closed();
 }
 
+void Pool::drop(std::unique_ptr<Connection> connection) {
+  release_ended(*connection);
+  const bool yielded = connection->yielded;
+  const Priority priority = connection->priority;
+  connection.reset();
+  if (!yielded) dropped(priority);
+}
+
+void Pool::release_begun(Connection& connection) {
+  if (!bounds_.budget || connection.priority != Priority::release) return;
+  bounds_.budget->releases_.push_back({this, &connection, loop_.now()});
+}
+
+void Pool::release_ended(const Connection& connection) {
+  if (!bounds_.budget || connection.priority != Priority::release) return;
+  std::erase_if(bounds_.budget->releases_, [&](const auto& r) { return r.connection == &connection; });
+}
+
+// Whoever waits on it sees it closed, and its room is free at once.
+void Pool::yield(Connection& connection) {
+  release_ended(connection);
+  connection.yielded = true;
+  connection.socket.close();
+  dropped(connection.priority);
+}
+
 void Pool::drop_oldest_kept() {
   kept_.pop_front();
   closed();
 }
 
 void Pool::note(const Connection& connection, bool answered) {
-  if (!bounds_.budget || !connection.used_before) return;
+  if (!bounds_.budget || !connection.used_before || connection.yielded) return;
   IdleReuseTracker& reuse = bounds_.budget->idle_reuse_;
   answered ? reuse.answered(connection.stood, loop_.now()) : reuse.broke(connection.stood, loop_.now());
 }
@@ -84,7 +128,7 @@
     if (loop_.now() >= until) co_return nullptr;
     co_await io::wait_until(loop_, returned_, rested);
   }
-  if (!budget_admits(priority) || (bounds_.budget && !bounds_.budget->make_room())) {
+  if (!budget_admits(priority) || (bounds_.budget && !bounds_.budget->make_room(priority, loop_.now()))) {
     crowded = true;
     co_return nullptr;
   }
@@ -108,6 +152,7 @@
       connection->used_before = true;
       connection->priority = priority;
       use_begun(priority);
+      release_begun(*connection);
       return connection;
     }
     connection.reset();
@@ -151,6 +196,7 @@
   crowded = false;
   counted.pool = nullptr;
   connection->reader = std::make_unique<Reader>(connection->socket, Kind::response);
+  release_begun(*connection);
   co_return connection;
 }
 
@@ -166,6 +212,8 @@
 }
 
 void Pool::give_back(std::unique_ptr<Connection> connection) {
+  if (connection->yielded) return drop(std::move(connection));
+  release_ended(*connection);
   use_ended(connection->priority);
   if (kept_.size() >= bounds_.kept || connection->reader->leftover() || !connection->socket.is_open()) {
     connection.reset();
--- a/http/client.h
+++ b/http/client.h
@@ -17,6 +17,7 @@
   io::Socket socket;
   std::unique_ptr<Reader> reader;
   Priority priority{Priority::ordinary};  // of its present use
+  bool yielded{};                         // was closed to make way for another release, and counts no more
   bool used_before{};
   io::Nanos stood{};  // how long it was kept unused before this use
 };
@@ -57,10 +58,18 @@
 
  private:
   friend class Pool;
+  struct Release {  // that is out on a connection
+    Pool* pool{};
+    Connection* connection{};
+    io::Nanos since{};
+  };
   // Whether another may be opened.
-  bool make_room();
+  bool make_room(Priority priority, io::Nanos now);
+  bool end_oldest_kept();
+  bool end_oldest_release(io::Nanos now);
   IdleReuseTracker idle_reuse_;
   ConnectionCount count_;
+  std::vector<Release> releases_;  // the earliest first
   std::vector<Pool*> pools_;
 };
 
@@ -94,8 +103,8 @@
                                              Priority priority = Priority::ordinary);
   // A connection whose last response was read to its end. Others are dropped instead.
   void give_back(std::unique_ptr<Connection> connection);
-  // A connection that was taken has been closed.
-  void dropped(Priority priority);
+  // Closes a connection that was taken.
+  void drop(std::unique_ptr<Connection> connection);
   void note(const Connection& connection, bool answered);
   // Closes what is kept and not in use.
   void drop_kept();
@@ -122,6 +131,10 @@
   void closed();
   void use_begun(Priority priority);
   void use_ended(Priority priority);
+  void dropped(Priority priority);
+  void release_begun(Connection& connection);
+  void release_ended(const Connection& connection);
+  void yield(Connection& connection);
   void drop_oldest_kept();
   io::Task<> sweep();
   io::Loop& loop_;
@@ -159,9 +172,7 @@
     if (connection_) pool_->give_back(std::move(connection_));
   }
   void drop() {
-    if (!connection_) return;
-    connection_.reset();
-    pool_->dropped(priority_);
+    if (connection_) pool_->drop(std::move(connection_));
   }
 
  private:
--- a/tests/pool_test.cpp
+++ b/tests/pool_test.cpp
@@ -136,6 +136,30 @@
   CHECK(pool->open() == kMost);
 }
 
+// Guards against releases to silent peers that leave no connection to the one in reach.
+TEST_CASE(
+    "a release that finds no room takes the place of the one that has stood longest, not of a fresh one") {
+  io::Loop loop(io::Loop::Time::handed);
+  RawServer silent, reachable;
+  const auto budget = std::make_shared<http::ConnectionBudget>(kMost, kForReleases);
+  const auto stuck = std::make_shared<http::Pool>(loop, silent.address(), bounds_with(budget));
+  const auto other = std::make_shared<http::Pool>(loop, reachable.address(), bounds_with(budget));
+  Holder attempts(loop), releases(loop);
+  attempts.take(stuck, http::Priority::ordinary, kMost - kForReleases);
+  releases.take(stuck, http::Priority::release, kForReleases);
+  pass(loop, 5);
+  CHECK(releases.taken == kForReleases);
+  CHECK(!takes(loop, other, http::Priority::release));
+  pass(loop, 50);
+  CHECK(takes(loop, other, http::Priority::release));
+  CHECK(attempts.taken == kMost - kForReleases);
+  CHECK(stuck->open() == kMost - kForReleases);
+  CHECK(budget->open() == kMost);
+  attempts.scope.cancel(), releases.scope.cancel();
+  CHECK(stuck->open() == 0);
+  CHECK(budget->open() == other->open());
+}
+
 // Guards against a release that waits while idle connections fill its peer's bound.
 TEST_CASE("a release takes the place of a kept connection that it cannot use") {
   io::Loop loop(io::Loop::Time::handed);
