Test: a lack of descriptors delays a release and does not end it

Looked into: EMFILE, ENFILE and ENOBUFS at socket() for 2 s, with a state held and no connection kept. No change of code.

--- a/tests/fault_test.cpp
+++ b/tests/fault_test.cpp
@@ -3,9 +3,9 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <chrono>
 
+#include "hold_watch.h"
 #include "raw_server.h"
 #include "rig/fault_plan.h"
-#include "site.h"
 
 namespace cressrill::testing {
 
@@ -116,6 +116,26 @@
   }
 }
 
+// Guards against a release that is given up for a lack of descriptors.
+TEST_CASE("no socket can be made for two seconds: what is held is released soon after one can") {
+  constexpr int kLimitMs = 500;
+  for (const int error : {EMFILE, ENFILE, ENOBUFS}) {
+    CAPTURE(error);
+    Site s(1, 1, with_limit(kLimitMs));
+    s.worker("reader-0").acts = {{"", Act::Then::reset, 10 * kMs, false, true}};
+    s.send("a", Site::call("a1"));
+    REQUIRE(s.until([&] { return !s.states.empty(); }));
+    {
+      Fault fault(FaultyCall::socket, error);
+      s.pass(2000);
+      CHECK(fault.injected() > 0);
+      CHECK(!s.states.empty());
+    }
+    s.pass(kHeldSlack / kMs);
+    CHECK(s.states.empty());
+  }
+}
+
 TEST_CASE("reads and writes of a few bytes each bring every request and stream through") {
   for (const FaultyCall call : {FaultyCall::receive, FaultyCall::send})
     for (const std::uint32_t most : {1u, 7u, 100u}) {
