--- a/router/kv_releaser.cpp
+++ b/router/kv_releaser.cpp
@@ -305,10 +305,10 @@
     written = loop_.now();
     return lease.hold.state() == HoldState::releasing;
   };
-  const auto answer =
-      co_await io::within(loop_, loop_.now() + release_call_timeout(limit_),
-                          http::exchange(link.pool, lease.talk->release(0, link.listed.address), still_wanted,
-                                         on_new_connection ? http::Reuse::never : http::Reuse::allowed));
+  const auto answer = co_await io::within(
+      loop_, loop_.now() + release_call_timeout(limit_),
+      http::exchange(link.pool, lease.talk->release(0, link.listed.address), still_wanted,
+                     on_new_connection ? http::Reuse::never : http::Reuse::allowed, http::Priority::release));
   if (answer) --lease.calls_open;
   if (!answer || !answer->ok() || answer->head.status / 100 != 2) co_return;
   if (find(told) != nullptr) fleet_.at(worker).answered(written, loop_.now());
