--- a/router/kv_releaser.cpp
+++ b/router/kv_releaser.cpp
@@ -292,8 +292,9 @@
 
 io::Task<> KvReleaser::tell(KvLease& lease, int worker, bool on_new_connection,
                             std::optional<io::Nanos>& confirmed) {
-  const Link& link = fleet_.at(worker);
-  const HoldWorker told{worker, link.identity};
+  const Link* link = fleet_.find(worker);
+  if (link == nullptr) co_return;  // forgotten since it was chosen
+  const HoldWorker told{worker, link->identity};
   lease.trace.add({.at = loop_.now(),
                    .step = Step::release_told,
                    .kv = lease.hold.state(),
@@ -307,7 +308,7 @@
   };
   const auto answer = co_await io::within(
       loop_, loop_.now() + release_call_timeout(limit_),
-      http::exchange(link.pool, lease.talk->release(0, link.listed.address), still_wanted,
+      http::exchange(link->pool, lease.talk->release(0, link->listed.address), still_wanted,
                      on_new_connection ? http::Reuse::never : http::Reuse::allowed, http::Priority::release));
   if (answer) --lease.calls_open;
   if (!answer || !answer->ok() || answer->head.status / 100 != 2) co_return;
--- a/src/release_plan.h
+++ b/src/release_plan.h
@@ -13,9 +13,9 @@
   int worker{};
   Nanos heard{};     // when an answer of it came last
   int told{};        // how often it was told of this release
-  bool drains{};     // it takes no new work, but releases as well as any other while it runs
   bool awaited{};    // a lost attempt is not known to be over there: of a prefill its answer is proof
   bool connected{};  // it was heard lately, and a connection that is kept to it can be used
+  bool drains{};     // it takes no new work, but releases as well as any other while it runs
 };
 
 // The next one to tell: those told least first, among them those whose answer is awaited, then those that do not drain, then
