--- a/tests/site.h
+++ b/tests/site.h
@@ -31,6 +31,8 @@
   std::string later{};  // sent so long behind the text:
   io::Nanos behind{50 * kMs};
   bool takes{};  // what is held for the request is taken before the text
+  // With Worker::whole_links: a prefill that is under way as the end of its connection arrives leaves a state all the same.
+  bool leaves_at_end{};
 };
 
 // A worker that says full to all that is sent, each time after 30 ms.
@@ -44,6 +46,16 @@
 struct States : std::map<std::string, std::string> {
   std::multiset<std::string> awaited;
   std::map<std::string, int> releases;
+  struct Attempts {
+    int out{};           // at running workers,
+    io::Nanos last{-1};  // and when one was last
+    bool unheard{};      // a prefill has ended without an answer, on a connection that stays open
+  };
+  std::map<std::string, Attempts> attempts;
+  std::function<void(const std::string&)> on_event;  // is told what workers see and do, a line each
+  void tell(const std::string& line) const {
+    if (on_event) on_event(line);
+  }
 };
 
 class Worker {
@@ -75,6 +87,10 @@
   int connections{};
   bool silent{};  // what comes is taken, and nothing is done
   bool loses_releases{};
+  io::Nanos confirms_after{};  // answers releases so much later
+  // A cut link keeps answers and ends of connections as well, and an attempt is over as the end of its connection arrives.
+  bool whole_links{};
+  std::string answering;               // the request whose answer is written, as these are called:
   std::function<void()> answers;       // called as an answer, or its first part, is about to be written,
   std::function<void()> has_answered;  // and once it was, with no look at any socket between
   // Links that pass nothing and stay open, while the worker runs on: all of them, or the first so many connections. What
@@ -121,6 +137,52 @@
     States& states;
     std::string id;
   };
+  // An attempt that is out at this worker, until it has ended here.
+  struct Out {
+    Out(Worker& at, std::string its_id) : worker(at), id(std::move(its_id)) {
+      note().out += 1;
+      worker.states_.tell(fmt::format("{}: attempt of {} arrives", worker.name, id));
+    }
+    ~Out() { end(); }
+    void end() {
+      if (std::exchange(over, true)) return;
+      note().out -= 1;
+      worker.states_.tell(fmt::format("{}: attempt of {} is over", worker.name, id));
+    }
+    States::Attempts& note() {
+      States::Attempts& attempts = worker.states_.attempts[id];
+      attempts.last = worker.loop_.now();
+      return attempts;
+    }
+    Out(const Out&) = delete;
+    Out& operator=(const Out&) = delete;
+    Worker& worker;
+    std::string id;
+    bool over{};
+  };
+  // One attempt, by what becomes of it here.
+  struct Attempt {
+    Open open;
+    Awaits awaits;
+    Out out;
+    int connection;
+    int releases;  // of its request, as it arrived
+    bool gone{};   // the end of its connection has arrived
+    void end() { awaits.end(), out.end(); }
+  };
+  bool link_is_cut(int connection) const { return cut || connection <= cut_connections; }
+  io::Task<> link_passes(int connection) {
+    while (link_is_cut(connection)) co_await loop_.sleep_for(5 * kMs);
+  }
+  io::Task<> watch_connection(io::Socket& s, Attempt& attempt, const Act& act) {
+    co_await s.peer_gone();
+    attempt.open.end();
+    if (!whole_links) co_return;
+    co_await link_passes(attempt.connection);
+    attempt.gone = true;
+    if (act.leaves_at_end && !attempt.out.over) leave_state(attempt.out.id, attempt.releases);
+    attempt.end();
+  }
   // number: which connection this is, from 1.
   io::Task<> serve(io::Socket s, int number) {
     http::Reader reader(s, http::Kind::request);
@@ -131,13 +193,16 @@
       if (co_await reader.rest(body) != http::Fault::none) co_return;
       const std::string target(head.target);
       if (silent) co_await loop_.sleep_for(600 * io::kSecond);
-      while (cut || number <= cut_connections) co_await loop_.sleep_for(5 * kMs);
+      co_await link_passes(number);
       if (head.method == "DELETE") {
         const std::string id = target.substr(target.rfind('/') + 1);
         if (loses_releases) co_await loop_.sleep_for(600 * io::kSecond);
         seen.push_back("DELETE " + id);
         ++states_.releases[id];
+        states_.tell(fmt::format("{}: release of {} arrives", name, id));
         if (!states_.awaited.contains(id)) states_.erase(id);
+        if (confirms_after > 0) co_await loop_.sleep_for(confirms_after);
+        if (whole_links) co_await link_passes(number);
         co_await s.write_all("HTTP/1.1 204 No Content\r\n\r\n");
         continue;
       }
@@ -147,32 +212,38 @@
       heads.emplace_back();
       for (const auto& [field, value] : head.fields)
         heads.back().append(field).append(": ").append(value).append("\n");
-      Open in_hand(open);
-      Awaits awaits(states_, reads ? "" : id);
-      const int releases = states_.releases[id];
-      io::Scope watch(loop_);
-      watch.spawn([](io::Socket& to, Open& request) -> io::Task<> {
-        co_await to.peer_gone();
-        request.end();
-      }(s, in_hand));
+      Attempt attempt{Open(open), Awaits(states_, reads ? "" : id), Out(*this, id), number,
+                      states_.releases[id]};
       Act act{"", Act::Then::keep, 0, true};
       if (!acts.empty()) act = acts.front(), acts.pop_front();
+      io::Scope watch(loop_);
+      watch.spawn(watch_connection(s, attempt, act));
       if (act.after > 0) co_await loop_.sleep_for(act.after);
+      if (attempt.gone) co_return;
       if (act.usual) {
         if (reads)
-          co_await read(s, id, releases);
+          co_await read(s, attempt);
         else
-          co_await write(s, id);
+          co_await write(s, attempt);
         continue;
       }
-      if (act.leaves) leave_state(id, releases);
-      if (act.takes) states_.erase(id);
-      if (answers) answers();
+      if (act.leaves) leave_state(id, attempt.releases);
+      if (act.leaves && reads) {
+        if (act.then == Act::Then::hold || !act.later.empty()) attempt.out.note().unheard = true;
+        attempt.out.end();
+      }
+      if (act.takes) take_state(id);
+      if (whole_links) {
+        if (act.then != Act::Then::hold) attempt.end();
+        co_await link_passes(number);
+      }
+      about_to_answer(id);
       co_await s.write_all(act.text);
       if (has_answered) has_answered();
-      if (act.then == Act::Then::abandon) awaits.end(), in_hand.end();
+      if (act.then == Act::Then::abandon) attempt.end(), attempt.open.end();
       if (!act.later.empty()) {
         co_await loop_.sleep_for(act.behind);
+        if (whole_links) co_await link_passes(number);
         co_await s.write_all(act.later);
       }
       if (act.then == Act::Then::hold || act.then == Act::Then::abandon)
@@ -181,28 +252,50 @@
       if (act.then != Act::Then::keep) co_return;
     }
   }
+  void about_to_answer(const std::string& id) {
+    answering = id;
+    states_.tell(fmt::format("{}: answers {}", name, id));
+    if (answers) answers();
+  }
   // releases: of that request, as the read began.
   void leave_state(const std::string& id, int releases) {
-    if (states_.releases[id] == releases) states_[id] = name;
+    if (states_.releases[id] != releases) return;
+    states_[id] = name;
+    states_.tell(fmt::format("{}: holds KV cache of {}", name, id));
+  }
+  bool take_state(const std::string& id) {
+    if (states_.erase(id) == 0) return false;
+    states_.tell(fmt::format("{}: takes KV cache of {}", name, id));
+    return true;
   }
-  io::Task<> read(io::Socket& s, std::string id, int releases) {
+  io::Task<> read(io::Socket& s, Attempt& attempt) {
     co_await loop_.sleep_for(20 * kMs);
-    leave_state(id, releases);
-    if (answers) answers();
+    if (attempt.gone) co_return;
+    leave_state(attempt.out.id, attempt.releases);
+    if (whole_links && link_is_cut(attempt.connection)) attempt.out.note().unheard = true;
+    attempt.out.end();
+    if (whole_links) co_await link_passes(attempt.connection);
+    about_to_answer(attempt.out.id);
     co_await s.write_all(
         "HTTP/1.1 202 Accepted\r\nX-Load-Report: concurrent=1,x0=0.2\r\n"
         "content-length: 20\r\n\r\n{\"cached_tokens\":128}");
     if (has_answered) has_answered();
   }
-  io::Task<> write(io::Socket& s, std::string id) {
-    if (states_.erase(id) == 0) {
+  io::Task<> write(io::Socket& s, Attempt& attempt) {
+    if (!take_state(attempt.out.id)) {
+      if (whole_links) {
+        attempt.end();
+        co_await link_passes(attempt.connection);
+      }
       co_await s.write_all("HTTP/1.1 410 Gone\r\nX-Rejected: 1\r\ncontent-length: 0\r\n\r\n");
       co_return;
     }
-    if (answers) answers();
+    if (whole_links) co_await link_passes(attempt.connection);
+    about_to_answer(attempt.out.id);
     co_await s.write_all(stream_head());
     if (has_answered) has_answered();
     for (int i = 0; i < events; ++i) {
+      if (whole_links) co_await link_passes(attempt.connection);
       co_await s.write_all(framed(event(i)));
       co_await loop_.sleep_for(20 * kMs);
     }
@@ -321,7 +414,7 @@
 class Site {
  public:
   explicit Site(int readers = 2, int writers = 2, const json& settings = small_settings(),
-                std::size_t descriptors = 256)
+                std::size_t descriptors = 256, const router::MakePolicy& make = make_policy)
       : agent(loop), log("n0", "off") {
     for (int i = 0; i < readers + writers; ++i) {
       const bool reads = i < readers;
@@ -337,7 +430,7 @@
               {"known", {{"rev", 3}, {"all", true}, {"targets", json::array()}}},
               {"settings", settings}};
     placement = std::make_unique<platform::Placement>(platform::read_placement(config.dump()));
-    node = std::make_unique<platform::Node>(loop, *placement, log, make_policy);
+    node = std::make_unique<platform::Node>(loop, *placement, log, make);
     pass(20);
   }
   ~Site() {
