--- a/tests/held_order_test.cpp
+++ b/tests/held_order_test.cpp
@@ -430,12 +430,16 @@
     return random_.one_in(3) ? 0 : random_.one_in(4) ? random_.steps(100) : random_.steps(8);
   }
   void happen() {
-    switch (random_.below(13)) {
+    switch (random_.below(16)) {
       case 0:
       case 1:
         return cut(any_worker());
       case 12:
         return silence_connections(any_worker());
+      case 13:
+        return silence_discovery(!site_.agent.silent);
+      case 14:
+        return random_.one_in(3) ? die(any_worker()) : new_request();
       case 2:
       case 3:
         return reconnect(any_worker());
@@ -486,6 +490,18 @@
     if (state == std::string("removed")) removed_.insert(worker.name);
     site_.agent.put(Site::target(worker, state));
   }
+  // What it holds is lost with it.
+  void die(Worker& worker) {
+    if (!another_in_reach(worker) || dead_.contains(worker.name)) return;
+    note(worker.name + " dies");
+    leaving_.insert(worker.name), dead_.insert(worker.name);
+    worker.die();
+    std::erase_if(site_.states, [&](const auto& held) { return held.second == worker.name; });
+  }
+  void silence_discovery(bool silent) {
+    note(silent ? "discovery falls silent" : "discovery is heard again");
+    site_.agent.silent = silent;
+  }
   void reload() {
     note("reload");
     site_.node->move_discovery(site_.agent.address());
@@ -504,6 +520,7 @@
   void heal() {
     if (random_.one_in(2)) site_.pass(random_.steps(600) / kMs);
     for (auto& worker : site_.workers) reconnect(*worker);
+    site_.agent.silent = false;
   }
 
   // The end.
@@ -603,6 +620,7 @@
   int requests_{};
   std::set<std::string> leaving_;
   std::set<std::string> removed_;
+  std::set<std::string> dead_;
   std::vector<std::unique_ptr<Client>> clients_;
   std::vector<Line> trace_;
   std::vector<Broken> broken_;
