Failing test: the last prefill of a request, its answer lost, is believed for its expected time

Order: no further prefill may be sent, so the last one has no time-out; it ends at once, its answer is lost on an open connection; the limit counts from its write and its expected time, up to half of the limit, and the release comes 50 ms past the limit.

--- a/tests/held_state_test.cpp
+++ b/tests/held_state_test.cpp
@@ -106,6 +106,27 @@
   lose_answers("retryable");
 }
 
+TEST_CASE(
+    "the last prefill of a request, expected to take 250 ms to half of the limit, and its answer is lost: "
+    "what it left is released within the limit, counted from its end") {
+  for (const int learned_ms : {150, 200, 250}) {
+    CAPTURE(learned_ms);
+    Site s(1, 1, with_limit(1000));
+    warm(s);
+    act(s, true, slow(learned_ms * kMs), 6);
+    for (int i = 0; i < 6; ++i) {
+      s.send("slow" + std::to_string(i), Site::call("s" + std::to_string(i)));
+      s.pass(20);
+    }
+    s.pass(3000);
+    act(s, true, answer_lost(10 * kMs));
+    HoldWatch watch(s, While::unattended);
+    send_some(s, 1, "4800");
+    s.pass(9000);
+    check_held(watch, 1000 * kMs);
+  }
+}
+
 TEST_CASE("a prefill of a request that may not be repeated: the same, however slow prefills have been") {
   lose_answers("fragile");
 }
