Soak: clients that leave as a worker answers, told by datagrams

Workers now tell the clients of each answer, right before and right after it is written (prefill: its answer, decode: its first event or refusal); one request in six leaves by such a cue, half of them up to 2 ms after. They are recorded as others that leave; one whose cue never comes is judged as one that stays.

--- a/programs/soak.cpp
+++ b/programs/soak.cpp
@@ -99,13 +99,14 @@
   all->add_option("--folder", options.folder, "for records and logs");
   all->add_option("--router-program", options.router_program, "another build of the router");
   soak::WorkerOptions worker;
-  std::string listen, target, record;
+  std::string listen, target, record, cues;
   bool prefill = false, decode = false;
   auto* one_worker = app.add_subcommand("worker", "a stand-in for a worker");
   one_worker->add_option("--name", worker.name)->required();
   one_worker->add_option("--listen", listen)->required();
   one_worker->add_option("--record", record)->required();
   one_worker->add_option("--seed", worker.seed)->required();
+  one_worker->add_option("--cues", cues, "address that is told of each answer, by datagrams");
   one_worker->add_flag("--prefill", prefill);
   one_worker->add_flag("--decode", decode);
   auto* proxy = app.add_subcommand("proxy", "a proxy that breaks connections");
@@ -116,6 +117,7 @@
   return guarded("cressrill-soak", [&] {
     if (one_worker->parsed()) {
       worker.reads = prefill, worker.address = address_of(listen);
+      if (!cues.empty()) worker.cues = address_of(cues);
       return run_worker(worker, record);
     }
     if (proxy->parsed()) return run_proxy(listen, target, seed);
--- a/rig/soak/clients.cpp
+++ b/rig/soak/clients.cpp
@@ -6,6 +6,10 @@
 
 using io::kMs;
 
+namespace {
+constexpr io::Nanos kPatience = 9 * io::kSecond;  // of a client that does not leave
+}  // namespace
+
 Clients::Clients(io::Loop& loop, Recorder& record, std::uint64_t seed,
                  std::function<std::optional<Door>()> door)
     : loop_(loop), record_(record), random_(seed), door_(std::move(door)), scope_(loop) {}
@@ -69,19 +73,62 @@
                         {"router", door.router},
                         {"first", first},
                         {"began", began}});
-  const bool leaves = between(0, 11) == 0;
-  const io::Nanos until = loop_.now() + (leaves ? between(1, 400) * kMs : 9 * io::kSecond);
-  const auto whole = co_await io::within(loop_, until, read_answer(reader, id, first));
+  Departure departure = draw_departure();
+  const auto whole = co_await until_departure(id, departure, read_answer(reader, id, first));
   if (whole) co_return *whole;
-  if (leaves) {
+  if (departure.leaves) {
     socket.close();
-    record_.note("left", {{"id", id}});
+    loop_.fresh_now();
+    record_.note("left", {{"id", id}, {"cue", std::string(1, static_cast<char>(departure.cue))}});
   } else {
     record_.note("no_answer", {{"id", id}, {"how", "nothing came"}});
   }
   co_return false;
 }
 
+// One in twelve leaves by chance; one in six as a worker answers, half of these a moment after.
+Clients::Departure Clients::draw_departure() {
+  static constexpr Cue kCues[] = {Cue::before_prefill_answer, Cue::after_prefill_answer,
+                                  Cue::before_decode_answer, Cue::after_decode_answer};
+  const int manner = between(0, 11);
+  Departure out{.leaves = manner == 0, .at = loop_.now() + kPatience};
+  if (manner == 0) out.at = loop_.now() + between(1, 400) * kMs;
+  if (manner != 1 && manner != 2) return out;
+  out.cue = kCues[between(0, 3)];
+  out.after_cue = between(0, 1) == 0 ? 0 : between(0, 2000) * io::kMicro;
+  return out;
+}
+
+void Clients::cued(Cue cue, const std::string& id) {
+  const auto wait = cue_waits_.find(id);
+  if (wait != cue_waits_.end() && wait->second->departure.cue == cue) wait->second->came.notify();
+}
+
+// Whether the connection can be used again, or nothing where its client leaves first.
+io::Task<std::optional<bool>> Clients::until_departure(const std::string& id, Departure& departure,
+                                                       io::Task<bool> answer) {
+  if (departure.cue == Cue::none) co_return co_await io::within(loop_, departure.at, std::move(answer));
+  std::optional<bool> whole;
+  io::Signal over(loop_);
+  CueWait wait{departure, io::Signal(loop_)};
+  cue_waits_[id] = &wait;
+  io::Scope both(loop_);
+  both.spawn([](io::Task<bool> task, std::optional<bool>& to, io::Signal& done) -> io::Task<> {
+    to = co_await std::move(task);
+    done.notify();
+  }(std::move(answer), whole, over));
+  both.spawn([](io::Loop& loop, CueWait& cue, io::Signal& done) -> io::Task<> {
+    co_await cue.came.wait();
+    if (cue.departure.after_cue > 0) co_await loop.sleep_for(cue.departure.after_cue);
+    cue.departure.leaves = true;
+    done.notify();
+  }(loop_, wait, over));
+  co_await io::wait_until(loop_, over, departure.at);
+  both.cancel();
+  cue_waits_.erase(id);
+  co_return whole;
+}
+
 io::Task<bool> Clients::write(io::Socket& socket, std::string_view text, bool slowly) {
   if (!slowly) co_return (co_await socket.write_all(text)).ok();
   while (!text.empty()) {
--- a/rig/soak/clients.h
+++ b/rig/soak/clients.h
@@ -3,10 +3,12 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <random>
 #include <string>
 
+#include "cue.h"
 #include "http/message.h"
 #include "rig/record.h"
 
@@ -26,11 +28,28 @@
   void start(int clients);
   void stop() { stopping_ = true; }
   int running() const { return running_; }
+  // A worker answers: a client that was to leave then does so.
+  void cued(Cue cue, const std::string& id);
 
  private:
+  // How long a client waits, and whether it leaves then or so long after a cue.
+  struct Departure {
+    bool leaves{};  // with a cue: once that has come
+    io::Nanos at{};
+    Cue cue{Cue::none};
+    io::Nanos after_cue{};
+  };
+  struct CueWait {
+    Departure& departure;
+    io::Signal came;
+  };
+
   io::Task<> client();
   io::Task<> visit();
   io::Task<bool> ask(io::Socket& socket, http::Reader& reader, const Door& door, bool first);
+  Departure draw_departure();
+  io::Task<std::optional<bool>> until_departure(const std::string& id, Departure& departure,
+                                                io::Task<bool> answer);
   io::Task<bool> write(io::Socket& socket, std::string_view text, bool slowly);
   io::Task<bool> read_answer(http::Reader& reader, const std::string& id, bool first);
   io::Task<> disturb(io::Socket& socket, const Door& door);
@@ -42,6 +61,7 @@
   std::mt19937_64 random_;
   std::function<std::optional<Door>()> door_;
   std::uint64_t next_id_{};
+  std::map<std::string, CueWait*> cue_waits_;  // by the id of the request
   bool stopping_{};
   int running_{};
   io::Scope scope_;
--- a/rig/soak/conductor.cpp
+++ b/rig/soak/conductor.cpp
@@ -14,6 +14,7 @@
 #include <random>
 
 #include "clients.h"
+#include "cue.h"
 #include "discovery.h"
 #include "http/client.h"
 #include "rig/fault_plan.h"
@@ -124,6 +125,7 @@
         record_(loop_, options.folder + "/conductor.jsonl"),
         discovery_(loop_, kAgents),
         clients_(loop_, record_, options.seed + 1, [this] { return open_door(); }),
+        cues_(loop_, [this](Cue cue, const std::string& id) { clients_.cued(cue, id); }),
         scope_(loop_) {
     static constexpr int kPinLimits[] = {300, 500, 1000};
     drawn_ = {kPinLimits[between(0, 2)], between(800, 2500), between(0, 3) > 0, between(0, 3) > 0,
@@ -186,7 +188,7 @@
   void start_worker(Worker& w) {
     w.process = Process({options_.soak_program, "worker", "--name", id_of(w), "--listen", w.own.text(),
                          "--record", in_folder(w.name + ".jsonl"), "--seed", std::to_string(random_() >> 1),
-                         w.reads ? "--prefill" : "--decode"},
+                         "--cues", cues_.address().text(), w.reads ? "--prefill" : "--decode"},
                         in_folder(w.name + ".log"));
   }
   void list(const Worker& w, const char* state, std::int64_t boot_ms) {
@@ -588,6 +590,7 @@
   std::deque<Router> routers_;
   std::deque<Worker> workers_;
   Clients clients_;
+  CueReceiver cues_;
   bool silent_{};
   DrawnSettings drawn_;
   std::size_t in_reach_{};  // this worker runs, and its links pass, from beginning to end
--- a/rig/soak/worker.cpp
+++ b/rig/soak/worker.cpp
@@ -9,6 +9,7 @@
       options_(options),
       record_(record),
       random_(options.seed),
+      cues_(loop, options.cues),
       server_(loop, options.address, [this](http::Request& r, http::Answer& a) { return serve(r, a); }) {
   note("worker_up", "");
 }
@@ -19,6 +20,15 @@
   record_.note(event, std::move(line));
 }
 
+// Tells of an answer that is about to be written, or has just been.
+void SoakWorker::cue(Moment moment, const std::string& id) {
+  const bool before = moment == Moment::before;
+  if (options_.reads)
+    cues_.send(before ? Cue::before_prefill_answer : Cue::after_prefill_answer, id);
+  else
+    cues_.send(before ? Cue::before_decode_answer : Cue::after_decode_answer, id);
+}
+
 io::Task<> SoakWorker::serve(http::Request& request, http::Answer& answer) {
   const std::string target(request.head.target);
   if (request.head.method == "DELETE") {
@@ -62,6 +72,7 @@
   if (drawn >= 1) co_return false;
   const io::Nanos delay = between(0, 40);
   co_await loop_.sleep_for(delay);
+  cue(Moment::before, id);
   if (drawn < 0.4) {
     note("turned_away", id, {{"number", number}});
     co_await answer.whole(503, "X-Rejected: 1\r\n", "");
@@ -73,6 +84,7 @@
     co_await loop_.sleep_for(4 * io::kSecond);
     answer.break_off();
   }
+  cue(Moment::after, id);
   co_return true;
 }
 
@@ -81,7 +93,9 @@
   co_await loop_.sleep_for(work);
   if (answer.socket().peer_ended()) co_return;  // given up: a read stops at a cancel
   note("held", id);
+  cue(Moment::before, id);
   co_await answer.whole(202, "X-Load-Report: concurrent=1,x0=0.2\r\n", "{\"cached_tokens\":128}");
+  cue(Moment::after, id);
 }
 
 io::Task<> SoakWorker::write(const std::string& id, http::Answer& answer) {
@@ -89,6 +103,7 @@
   co_await loop_.sleep_for(work);
   if (answer.socket().peer_ended()) co_return;
   note("fetched", id);
+  cue(Moment::before, id);
   if (!co_await answer.begin(200, "content-type: text/event-stream\r\n")) co_return;
   const int events = static_cast<int>(between(2, 12) / io::kMs);
   for (int i = 0; i < events; ++i) {
@@ -97,6 +112,7 @@
     const std::string event =
         fmt::format("data: {{\"choices\":[{{\"index\":0,\"delta\":{{\"content\":\"t{}\"}}}}]}}\n\n", i);
     if (!co_await answer.part(event)) co_return;
+    if (i == 0) cue(Moment::after, id);
     const io::Nanos step = between(5, 40);
     co_await loop_.sleep_for(step);
   }
--- a/rig/soak/worker.h
+++ b/rig/soak/worker.h
@@ -5,6 +5,7 @@
 #include <random>
 #include <string>
 
+#include "cue.h"
 #include "http/server.h"
 #include "rig/record.h"
 
@@ -15,6 +16,7 @@
   bool reads{};
   io::Address address;
   std::uint64_t seed{};
+  io::Address cues;      // where clients are told of its answers; port 0: nowhere
   double failing{0.06};  // share of the requests that it turns away, fails, breaks or leaves without a word
 };
 
@@ -32,6 +34,8 @@
   io::Nanos between(int from_ms, int to_ms) {
     return std::uniform_int_distribution<std::int64_t>(from_ms, to_ms)(random_) * io::kMs;
   }
+  enum class Moment { before, after };
+  void cue(Moment moment, const std::string& id);
   void note(const char* event, const std::string& id, Recorder::Line more = Recorder::Line::object());
 
   io::Loop& loop_;
@@ -39,6 +43,7 @@
   Recorder& record_;
   std::mt19937_64 random_;
   std::uint64_t posts_{};
+  CueSender cues_;
   http::Server server_;
 };
 
