Soak's judge: requests that cross an end, connections shut beside a crowd, streams that a kill cuts

A stream that was sent over 0.7 s after SIGTERM and is cut by SIGKILL is lost; it counted as served before.

--- a/tests/soak_checker_test.cpp
+++ b/tests/soak_checker_test.cpp
@@ -189,4 +189,46 @@
   CHECK(breaches(Lines{sent(0), event_written(200), answer(1500), read} + silent) == 1);
 }
 
+// Guards against a request that is sent again elsewhere though its first router had read it.
+TEST_CASE("the judge: a request that crossed the end of its connection is lost where it was forwarded") {
+  const Line crossed = line(300, "crossed", {{"id", "a"}, {"how", "closed"}});
+  const Line forwarded = post(100, "decode-1-0", false);
+  const auto killed = [](std::int64_t at) { return line(at, "killed", {{"process", "r"}}); };
+  CHECK(breaches({sent(0), crossed}) == 0);
+  CHECK(breaches({sent(0), forwarded, crossed}) == 1);
+  CHECK(breaches({sent(0), forwarded, crossed, post(400, "decode-2-0", false)}) == 1);
+  CHECK(breaches({sent(0), forwarded, killed(250), crossed}) == 0);
+  CHECK(breaches({sent(0), forwarded, crossed, killed(500)}) == 1);
+}
+
+// Guards against a judge that asks for what nobody read, where idle clients fill the descriptors and connections make way.
+TEST_CASE("the judge: beside a crowd a new connection may be shut unread, and no request that was read") {
+  const Lines crowd{line(-500, "crowd_came", Line::object()), line(5000, "crowd_gone", Line::object())};
+  const auto shut = [](std::int64_t at, const char* how) {
+    return line(at, "no_answer", {{"id", "a"}, {"how", how}});
+  };
+  CHECK(breaches(crowd + Lines{sent(0), shut(170, "closed")}) == 0);
+  CHECK(breaches(crowd + Lines{sent(0), shut(190, "closed")}) == 1);
+  CHECK(breaches(crowd + Lines{sent(0), shut(170, "malformed")}) == 1);
+  CHECK(breaches(crowd + Lines{sent(0), post(50, "decode-1-0", false), shut(170, "closed")}) == 1);
+  CHECK(breaches({sent(0), shut(170, "closed")}) == 1);
+  CHECK(breaches(crowd + Lines{sent(6000), shut(6170, "closed")}) == 1);
+  // A later request on its connection: clients note that the end crossed it, and any other end loses it.
+  Line later = sent(0);
+  later["first"] = false;
+  CHECK(breaches(crowd + Lines{later, shut(170, "closed")}) == 1);
+}
+
+TEST_CASE("the judge: a stream that SIGKILL cuts is lost where it was sent 0.7 s after SIGTERM or later") {
+  const auto ended = [](std::int64_t term, std::int64_t kill) {
+    return Lines{line(term, "terminated", {{"router", "r"}}), line(kill, "late_exit", {{"router", "r"}})};
+  };
+  const auto cut = [](std::int64_t at) { return line(at, "stream_cut", {{"id", "a"}}); };
+  CHECK(breaches(Lines{sent(1000), answer(1100), cut(3701)} + ended(200, 3700)) == 1);
+  CHECK(breaches(Lines{sent(1000), answer(1100), cut(3701)} + ended(400, 3700)) == 0);
+  CHECK(breaches(Lines{sent(1000), answer(1100), cut(2000)} + ended(200, 3700)) == 0);
+  // It ended by itself, and no kill had to come.
+  CHECK(breaches({line(200, "terminated", {{"router", "r"}}), sent(1000), answer(1100), cut(3701)}) == 0);
+}
+
 }  // namespace cressrill::testing
