Soak's judge: a kill excuses what was held from then on, not what had been held for too long before

The judge passed any state whose router, or a worker of whose request, was killed at any time before its end. What is held is now judged up to the first such kill.

Stricter only: nothing passes that failed before.

--- a/rig/soak/checker.cpp
+++ b/rig/soak/checker.cpp
@@ -263,19 +263,40 @@
       attempts.push_back({p.came, p.ended == 0 ? kNever : p.ended, number_of(p.worker), p.reads});
     for (const HeldSpan& span : held_spans(attempts, r.holds, last_)) {
       const Nanos most = limits_.held_for + 300 * kMs + kNetwork;
-      if (span.unattended <= most || excused(r, span.from, span.until)) continue;
-      breach(fmt::format("{}: its state was held for {} ms", id, span.unattended / kMs));
+      const Nanos unattended = unattended_until_kill(r, attempts, span);
+      if (unattended <= most || stood_still(r)) continue;
+      breach(fmt::format("{}: its state was held for {} ms", id, unattended / kMs));
     }
   }
+  // A kill of its router, or of a worker of the request, excuses what was held from then on, and nothing before.
+  Nanos unattended_until_kill(const Request& r, const std::vector<AttemptSpan>& attempts,
+                              const HeldSpan& span) const {
+    const Nanos kill = first_kill(r, span.from, span.until);
+    if (kill == kNever) return span.unattended;
+    std::vector<HoldMark> before = r.holds;
+    std::erase_if(before, [kill](const HoldMark& mark) { return mark.at > kill; });
+    for (const HeldSpan& shorter : held_spans(attempts, before, kill))
+      if (shorter.from == span.from) return shorter.unattended;
+    return 0;
+  }
   int number_of(const std::string& worker) {
     return worker_numbers_.try_emplace(worker, static_cast<int>(worker_numbers_.size())).first->second;
   }
-  // The router was killed meanwhile, or the worker that held it; or some worker of the request stood still.
-  bool excused(const Request& r, Nanos from, Nanos until) const {
-    if (killed_between(r.router, from, until)) return true;
-    return std::ranges::any_of(r.posts, [&](const Post& p) {
-      return stopped_around(p.worker, p.at) || killed_between(p.worker, from, until);
-    });
+  // Of its router, or of a worker that it was sent to; kNever where none was killed in that time.
+  Nanos first_kill(const Request& r, Nanos from, Nanos until) const {
+    Nanos first = kNever;
+    const auto look_at = [&](const std::string& process) {
+      const auto kills = kills_.find(process);
+      if (kills == kills_.end()) return;
+      for (const Nanos kill : kills->second)
+        if (kill >= from && kill <= until) first = std::min(first, kill);
+    };
+    look_at(r.router);
+    for (const Post& p : r.posts) look_at(p.worker);
+    return first;
+  }
+  bool stood_still(const Request& r) const {
+    return std::ranges::any_of(r.posts, [&](const Post& p) { return stopped_around(p.worker, p.at); });
   }
 
   std::vector<Recorder::Line> lines_;
--- a/tests/soak_checker_test.cpp
+++ b/tests/soak_checker_test.cpp
@@ -91,6 +91,13 @@
 TEST_CASE("the judge: a kill excuses what its router held then, and nothing before or after") {
   const auto killed = [](std::int64_t at) { return line(at, "killed", {{"process", "r"}}); };
   CHECK(breaches(kRead + Lines{killed(400)}) == 0);
+  // It was held for too long before.
+  CHECK(breaches(kRead + Lines{killed(900)}) == 1);
+  CHECK(breaches(kRead + Lines{killed(400), killed(900)}) == 0);
+  const Line worker_killed = line(900, "killed", {{"process", "prefill-0-0"}});
+  CHECK(breaches(kRead + Lines{worker_killed}) == 1);
+  const Lines released{of_worker(700, "released", "decode-1-0")};
+  CHECK(breaches(kRead + released + Lines{killed(900)}) == 0);
   CHECK(breaches(Lines{killed(5)} + kRead) == 1);
   CHECK(breaches({sent(0), line(8000, "killed", {{"process", "r"}}),
                   line(9000, "no_answer", {{"id", "a"}, {"how", "closed"}})}) == 1);
