--- a/rig/soak/clients.cpp
+++ b/rig/soak/clients.cpp
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include <climits>
+
 namespace cressrill::rig::soak {
 
 using io::kMs;
@@ -10,9 +12,14 @@
 constexpr io::Nanos kPatience = 9 * io::kSecond;  // of a client that does not leave
 }  // namespace
 
-Clients::Clients(io::Loop& loop, Recorder& record, std::uint64_t seed,
+Clients::Clients(io::Loop& loop, Recorder& record, std::uint64_t seed, int longest_budget_ms,
                  std::function<std::optional<Door>()> door)
-    : loop_(loop), record_(record), random_(seed), door_(std::move(door)), scope_(loop) {}
+    : loop_(loop),
+      record_(record),
+      random_(seed),
+      door_(std::move(door)),
+      longest_budget_ms_(longest_budget_ms),
+      scope_(loop) {}
 
 void Clients::start(int clients) {
   for (int i = 0; i < clients; ++i) scope_.spawn(client());
@@ -21,15 +28,29 @@
 io::Task<> Clients::client() {
   ++running_;
   while (!stopping_) {
-    co_await visit();
+    co_await visit(door_(), {.stays = between(0, 3) == 0});
     co_await loop_.sleep_for(between(5, 120) * kMs);
   }
   --running_;
 }
 
+void Clients::press(const Door& door, int connections, io::Nanos span) {
+  for (int i = 0; i < connections; ++i) {
+    const io::Nanos after = between(0, static_cast<int>(span / kMs)) * kMs;
+    const io::Nanos waits_for = between(0, 1) == 0 ? 0 : between(0, 2000) * kMs;
+    scope_.spawn(press_once(door, after, {.stays = true, .waits_for = waits_for}));
+  }
+}
+
+io::Task<> Clients::press_once(Door door, io::Nanos after, Manner manner) {
+  ++running_;
+  co_await loop_.sleep_for(after);
+  if (!stopping_) co_await visit(door, manner);
+  --running_;
+}
+
 // One connection, with some requests on it.
-io::Task<> Clients::visit() {
-  const std::optional<Door> door = door_();
+io::Task<> Clients::visit(std::optional<Door> door, Manner manner) {
   if (!door) co_return;
   io::Socket socket;
   const auto made =
@@ -40,10 +61,12 @@
     co_return;
   }
   http::Reader reader(socket, http::Kind::response);
-  const int requests = between(1, 4);
+  co_await loop_.sleep_for(manner.waits_for);
+  const int requests = manner.stays ? INT_MAX : between(1, 4);
   for (int i = 0; i < requests && !stopping_; ++i) {
-    if (i > 0 && between(0, 4) == 0) co_await loop_.sleep_for(between(500, 6000) * kMs);  // rests
-    if (!co_await ask(socket, reader, *door, i == 0)) co_return;
+    const bool rests = i > 0 && between(0, manner.stays ? 19 : 4) == 0;
+    if (rests) co_await loop_.sleep_for(between(500, 6000) * kMs);
+    if (!co_await ask(socket, reader, *door, i == 0 && manner.waits_for == 0)) co_return;
   }
 }
 
@@ -61,7 +84,7 @@
 io::Task<bool> Clients::ask(io::Socket& socket, http::Reader& reader, const Door& door, bool first) {
   static constexpr const char* kKinds[] = {"chat", "chat", "order", "pay"};
   const std::string id = fmt::format("c{}", ++next_id_), kind = kKinds[between(0, 3)];
-  const int budget_ms = between(400, 3000);
+  const int budget_ms = between(400, longest_budget_ms_);
   const std::string text = request(id, kind, budget_ms);
   const io::Nanos began = loop_.fresh_now();
   if (!co_await write(socket, text, between(0, 19) == 0)) {
@@ -164,6 +187,7 @@
     if (fault != http::Fault::none) break;
   }
   if (status != 200) record_.note("answer", {{"id", id}, {"status", status}});
+  if (status == 200 && fault != http::Fault::none) record_.note("stream_cut", {{"id", id}});
   co_return fault == http::Fault::none&& head.keep_alive;
 }
 
--- a/rig/soak/clients.h
+++ b/rig/soak/clients.h
@@ -23,10 +23,15 @@
 class Clients {
  public:
   // door: one of those that are open now; none where none is.
-  Clients(io::Loop& loop, Recorder& record, std::uint64_t seed, std::function<std::optional<Door>()> door);
+  // longest_budget_ms: the longest deadline of any request.
+  Clients(io::Loop& loop, Recorder& record, std::uint64_t seed, int longest_budget_ms,
+          std::function<std::optional<Door>()> door);
   // Runs so many side by side until told to stop; then those that are under way come to their ends.
   void start(int clients);
   void stop() { stopping_ = true; }
+  // Opens so many more connections to a router that has been told to end, within the span in which its front still does;
+  // requests are sent on them for as long as they stay open.
+  void press(const Door& door, int connections, io::Nanos span);
   int running() const { return running_; }
   // A worker answers: a client that was to leave then does so.
   void cued(Cue cue, const std::string& id);
@@ -45,7 +50,13 @@
   };
 
   io::Task<> client();
-  io::Task<> visit();
+  // How a client uses a connection.
+  struct Manner {
+    bool stays{};           // goes on until the router ends it
+    io::Nanos waits_for{};  // before its first request
+  };
+  io::Task<> visit(std::optional<Door> door, Manner manner);
+  io::Task<> press_once(Door door, io::Nanos after, Manner manner);
   io::Task<bool> ask(io::Socket& socket, http::Reader& reader, const Door& door, bool first);
   Departure draw_departure();
   io::Task<std::optional<bool>> until_departure(const std::string& id, Departure& departure,
@@ -64,6 +75,7 @@
   std::map<std::string, CueWait*> cue_waits_;  // by the id of the request
   bool stopping_{};
   int running_{};
+  int longest_budget_ms_;
   io::Scope scope_;
 };
 
--- a/rig/soak/conductor.cpp
+++ b/rig/soak/conductor.cpp
@@ -17,6 +17,7 @@
 #include "cue.h"
 #include "discovery.h"
 #include "http/client.h"
+#include "idle_crowd.h"
 #include "rig/fault_plan.h"
 #include "rig/process.h"
 
@@ -30,10 +31,13 @@
 namespace {
 
 constexpr io::Nanos kReadyWithin = 10 * kSecond;
-constexpr io::Nanos kLongestDeadline = 3 * kSecond;
-constexpr io::Nanos kKillAfter = kLongestDeadline + 700 * kMs;
+constexpr io::Nanos kKillAfterDeadline =
+    700 * kMs;  // SIGKILL comes the longest deadline and so long after SIGTERM
 constexpr std::size_t kAgents = 2;
 constexpr int kClients = 24;
+constexpr int kPressing = 12;  // connections that clients open to a router that has been told to end
+constexpr int kIdleClients =
+    140;  // of a crowd, each router: more than the 115 that its descriptors leave for clients
 constexpr int kDescriptors = 256;
 
 // What differs from seed to seed.
@@ -43,6 +47,8 @@
   bool parallel_tries{};
   bool cancelling{};
   bool holds_allowed{};
+  int longest_deadline_ms{};
+  bool crowd{};  // of idle clients
 };
 
 json settings(int routers, const DrawnSettings& drawn) {
@@ -124,17 +130,18 @@
         random_(options.seed),
         record_(loop_, options.folder + "/conductor.jsonl"),
         discovery_(loop_, kAgents),
-        clients_(loop_, record_, options.seed + 1, [this] { return open_door(); }),
+        drawn_(draw_settings()),
+        clients_(loop_, record_, options.seed + 1, drawn_.longest_deadline_ms,
+                 [this] { return open_door(); }),
         cues_(loop_, [this](Cue cue, const std::string& id) { clients_.cued(cue, id); }),
         scope_(loop_) {
-    static constexpr int kPinLimits[] = {300, 500, 1000};
-    drawn_ = {kPinLimits[between(0, 2)], between(800, 2500), between(0, 3) > 0, between(0, 3) > 0,
-              between(0, 1) == 0};
     in_reach_ = static_cast<std::size_t>(between(0, options_.workers - 1));
     record_.note("settings", {{"pin_limit_ms", drawn_.pin_limit_ms},
                               {"window_ms", drawn_.window_ms},
                               {"parallel_tries", drawn_.parallel_tries},
-                              {"cancelling", drawn_.cancelling}});
+                              {"cancelling", drawn_.cancelling},
+                              {"longest_deadline_ms", drawn_.longest_deadline_ms},
+                              {"crowd", drawn_.crowd}});
   }
 
   SoakResult run() {
@@ -153,6 +160,17 @@
   }
 
  private:
+  DrawnSettings draw_settings() {
+    static constexpr int kPinLimits[] = {300, 500, 1000}, kLongestDeadlines[] = {1200, 2000, 3000};
+    DrawnSettings out;
+    out.pin_limit_ms = kPinLimits[between(0, 2)];
+    out.window_ms = between(800, 2500);
+    out.parallel_tries = between(0, 3) > 0, out.cancelling = between(0, 3) > 0;
+    out.holds_allowed = between(0, 1) == 0;
+    out.longest_deadline_ms = kLongestDeadlines[between(0, 2)];
+    out.crowd = between(0, 2) == 0;
+    return out;
+  }
   int between(int from, int to) { return std::uniform_int_distribution<int>(from, to)(random_); }
   io::Nanos span(int from_ms, int to_ms) { return between(from_ms, to_ms) * kMs; }
   std::string in_folder(const std::string& name) const { return options_.folder + "/" + name; }
@@ -263,6 +281,7 @@
     while (!std::ranges::all_of(routers_, &Router::open)) co_await loop_.sleep_for(50 * kMs);
     clients_.start(kClients);
     scope_.spawn(look_at_routers());
+    if (drawn_.crowd) gather_crowd();
     const io::Nanos until = loop_.now() + options_.length;
     io::Scope troubles(loop_);
     troubles.spawn(interrupt_reads());  // so that no play goes without a call that fails
@@ -272,6 +291,8 @@
       troubles.spawn(trouble());
     }
     while (!troubles.empty()) co_await loop_.sleep_for(20 * kMs);
+    if (!crowds_.empty()) record_.note("crowd_gone", Recorder::Line::object());
+    crowds_.clear();
     clients_.stop();
     while (clients_.running() > 0) co_await loop_.sleep_for(20 * kMs);
     co_await loop_.sleep_for(2 * kSecond);  // for what is still held
@@ -279,6 +300,14 @@
     over = true;
   }
 
+  void gather_crowd() {
+    record_.note("crowd_came", Recorder::Line::object());
+    for (const Router& r : routers_) {
+      const auto address = [&r] { return r.open ? std::optional(r.address) : std::nullopt; };
+      crowds_.push_back(std::make_unique<IdleCrowd>(loop_, random_(), kIdleClients, address));
+    }
+  }
+
   // Descriptors and memory, and whether all that should run does.
   io::Task<> look_at_routers() {
     for (;;) {
@@ -306,7 +335,7 @@
   // Troubles: each begins one thing and ends it.
 
   io::Task<> trouble() {
-    switch (between(0, 14)) {
+    switch (between(0, 15)) {
       case 0:
       case 1:
       case 2:
@@ -318,18 +347,19 @@
       case 5:
         return move_discovery();
       case 6:
-        return restart_router();
       case 7:
-        return silence_discovery();
+        return restart_router();
       case 8:
-        return hang_worker();
+        return silence_discovery();
       case 9:
-        return replace_worker();
+        return hang_worker();
       case 10:
-        return drain_worker();
+        return replace_worker();
       case 11:
+        return drain_worker();
       case 12:
       case 13:
+      case 14:
         return silence_links();
       default:
         return shorten_transfers();
@@ -463,11 +493,15 @@
     const bool in_series = between(0, 2) == 0;
     if (in_series) ::kill(r.process.pid(), SIGHUP), ::kill(r.process.pid(), SIGHUP);
     r.process.terminate();
+    record_.note("terminated", {{"router", r.name}});
     if (in_series) ::kill(r.process.pid(), SIGUSR1), r.process.terminate();
     const io::Nanos began = loop_.now();
-    co_await loop_.sleep_for(span(200, 400));  // the front has not heard of it yet
+    const io::Nanos kill_after = drawn_.longest_deadline_ms * kMs + kKillAfterDeadline;
+    const io::Nanos front_notices = span(200, 400);
+    clients_.press({r.name, r.address}, kPressing, front_notices);
+    co_await loop_.sleep_for(front_notices);
     r.open = false;
-    while (r.process.running() && loop_.now() - began < kKillAfter) co_await loop_.sleep_for(10 * kMs);
+    while (r.process.running() && loop_.now() - began < kill_after) co_await loop_.sleep_for(10 * kMs);
     if (r.process.running()) {
       record_.note("late_exit", {{"router", r.name}});
       r.process.kill();
@@ -589,10 +623,11 @@
   Discovery discovery_;
   std::deque<Router> routers_;
   std::deque<Worker> workers_;
+  DrawnSettings drawn_;
   Clients clients_;
   CueReceiver cues_;
+  std::vector<std::unique_ptr<IdleCrowd>> crowds_;  // one a router, in seeds that have them
   bool silent_{};
-  DrawnSettings drawn_;
   std::size_t in_reach_{};  // this worker runs, and its links pass, from beginning to end
   SoakResult result_;
   io::Scope scope_;
--- /dev/null
+++ b/rig/soak/idle_crowd.cpp
@@ -0,0 +1,33 @@
+#include "idle_crowd.h"
+
+namespace cressrill::rig::soak {
+
+namespace {
+constexpr io::Nanos kConnectWithin = io::kSecond;
+constexpr int kBackAfterLeastMs = 300, kBackAfterMostMs = 2000;
+}  // namespace
+
+IdleCrowd::IdleCrowd(io::Loop& loop, std::uint64_t seed, int clients,
+                     std::function<std::optional<io::Address>()> address)
+    : loop_(loop), random_(seed), address_(std::move(address)), scope_(loop) {
+  for (int i = 0; i < clients; ++i) scope_.spawn(idle_client());
+}
+
+io::Task<> IdleCrowd::idle_client() {
+  for (;;) {
+    co_await connect_once();
+    std::uniform_int_distribution<int> back_after(kBackAfterLeastMs, kBackAfterMostMs);
+    co_await loop_.sleep_for(back_after(random_) * io::kMs);
+  }
+}
+
+io::Task<> IdleCrowd::connect_once() {
+  const std::optional<io::Address> address = address_();
+  if (!address) co_return;
+  io::Socket socket;
+  const auto made =
+      co_await io::within(loop_, loop_.now() + kConnectWithin, io::connect(loop_, *address, socket));
+  if (made && made->ok()) co_await socket.peer_gone();
+}
+
+}  // namespace cressrill::rig::soak
