--- a/rig/soak/clients.cpp
+++ b/rig/soak/clients.cpp
@@ -2,13 +2,24 @@
 
 #include <fmt/format.h>
 
+#include <climits>
+
 namespace cressrill::rig::soak {
 
 using io::kMs;
 
-Clients::Clients(io::Loop& loop, Recorder& record, std::uint64_t seed,
+namespace {
+constexpr io::Nanos kPatience = 9 * io::kSecond;  // of a client that does not leave
+}  // namespace
+
+Clients::Clients(io::Loop& loop, Recorder& record, std::uint64_t seed, int longest_budget_ms,
                  std::function<std::optional<Door>()> door)
-    : loop_(loop), record_(record), random_(seed), door_(std::move(door)), scope_(loop) {}
+    : loop_(loop),
+      record_(record),
+      random_(seed),
+      door_(std::move(door)),
+      longest_budget_ms_(longest_budget_ms),
+      scope_(loop) {}
 
 void Clients::start(int clients) {
   for (int i = 0; i < clients; ++i) scope_.spawn(client());
@@ -17,15 +28,29 @@
 io::Task<> Clients::client() {
   ++running_;
   while (!stopping_) {
-    co_await visit();
+    co_await visit(door_(), {.stays = between(0, 3) == 0});
     co_await loop_.sleep_for(between(5, 120) * kMs);
   }
   --running_;
 }
 
+void Clients::press(const Door& door, int connections, io::Nanos span) {
+  for (int i = 0; i < connections; ++i) {
+    const io::Nanos after = between(0, static_cast<int>(span / kMs)) * kMs;
+    const io::Nanos waits_for = between(0, 1) == 0 ? 0 : between(0, 2000) * kMs;
+    scope_.spawn(press_once(door, after, {.stays = true, .waits_for = waits_for}));
+  }
+}
+
+io::Task<> Clients::press_once(Door door, io::Nanos after, Manner manner) {
+  ++running_;
+  co_await loop_.sleep_for(after);
+  if (!stopping_) co_await visit(door, manner);
+  --running_;
+}
+
 // One connection, with some requests on it.
-io::Task<> Clients::visit() {
-  const std::optional<Door> door = door_();
+io::Task<> Clients::visit(std::optional<Door> door, Manner manner) {
   if (!door) co_return;
   io::Socket socket;
   const auto made =
@@ -36,10 +61,12 @@
     co_return;
   }
   http::Reader reader(socket, http::Kind::response);
-  const int requests = between(1, 4);
+  co_await loop_.sleep_for(manner.waits_for);
+  const int requests = manner.stays ? INT_MAX : between(1, 4);
   for (int i = 0; i < requests && !stopping_; ++i) {
-    if (i > 0 && between(0, 4) == 0) co_await loop_.sleep_for(between(500, 6000) * kMs);  // rests
-    if (!co_await ask(socket, reader, *door, i == 0)) co_return;
+    const bool rests = i > 0 && between(0, manner.stays ? 19 : 4) == 0;
+    if (rests) co_await loop_.sleep_for(between(500, 6000) * kMs);
+    if (!co_await ask(socket, reader, *door, i == 0 && manner.waits_for == 0)) co_return;
   }
 }
 
@@ -57,7 +84,7 @@
 io::Task<bool> Clients::ask(io::Socket& socket, http::Reader& reader, const Door& door, bool first) {
   static constexpr const char* kKinds[] = {"chat", "chat", "order", "pay"};
   const std::string id = fmt::format("c{}", ++next_id_), kind = kKinds[between(0, 3)];
-  const int budget_ms = between(400, 3000);
+  const int budget_ms = between(400, longest_budget_ms_);
   const std::string text = request(id, kind, budget_ms);
   const io::Nanos began = loop_.fresh_now();
   if (!co_await write(socket, text, between(0, 19) == 0)) {
@@ -69,19 +96,62 @@
                         {"router", door.router},
                         {"first", first},
                         {"began", began}});
-  const bool leaves = between(0, 11) == 0;
-  const io::Nanos until = loop_.now() + (leaves ? between(1, 400) * kMs : 9 * io::kSecond);
-  const auto whole = co_await io::within(loop_, until, read_answer(reader, id, first));
+  Departure departure = draw_departure();
+  const auto whole = co_await until_departure(id, departure, read_answer(reader, id, first));
   if (whole) co_return *whole;
-  if (leaves) {
+  if (departure.leaves) {
     socket.close();
-    record_.note("left", {{"id", id}});
+    loop_.fresh_now();
+    record_.note("left", {{"id", id}, {"cue", std::string(1, static_cast<char>(departure.cue))}});
   } else {
     record_.note("no_answer", {{"id", id}, {"how", "nothing came"}});
   }
   co_return false;
 }
 
+// One in twelve leaves by chance; one in six as a worker answers, half of these a moment after.
+Clients::Departure Clients::draw_departure() {
+  static constexpr Cue kCues[] = {Cue::before_prefill_answer, Cue::after_prefill_answer,
+                                  Cue::before_decode_answer, Cue::after_decode_answer};
+  const int manner = between(0, 11);
+  Departure out{.leaves = manner == 0, .at = loop_.now() + kPatience};
+  if (manner == 0) out.at = loop_.now() + between(1, 400) * kMs;
+  if (manner != 1 && manner != 2) return out;
+  out.cue = kCues[between(0, 3)];
+  out.after_cue = between(0, 1) == 0 ? 0 : between(0, 2000) * io::kMicro;
+  return out;
+}
+
+void Clients::cued(Cue cue, const std::string& id) {
+  const auto wait = cue_waits_.find(id);
+  if (wait != cue_waits_.end() && wait->second->departure.cue == cue) wait->second->came.notify();
+}
+
+// Whether the connection can be used again, or nothing where its client leaves first.
+io::Task<std::optional<bool>> Clients::until_departure(const std::string& id, Departure& departure,
+                                                       io::Task<bool> answer) {
+  if (departure.cue == Cue::none) co_return co_await io::within(loop_, departure.at, std::move(answer));
+  std::optional<bool> whole;
+  io::Signal over(loop_);
+  CueWait wait{departure, io::Signal(loop_)};
+  cue_waits_[id] = &wait;
+  io::Scope both(loop_);
+  both.spawn([](io::Task<bool> task, std::optional<bool>& to, io::Signal& done) -> io::Task<> {
+    to = co_await std::move(task);
+    done.notify();
+  }(std::move(answer), whole, over));
+  both.spawn([](io::Loop& loop, CueWait& cue, io::Signal& done) -> io::Task<> {
+    co_await cue.came.wait();
+    if (cue.departure.after_cue > 0) co_await loop.sleep_for(cue.departure.after_cue);
+    cue.departure.leaves = true;
+    done.notify();
+  }(loop_, wait, over));
+  co_await io::wait_until(loop_, over, departure.at);
+  both.cancel();
+  cue_waits_.erase(id);
+  co_return whole;
+}
+
 io::Task<bool> Clients::write(io::Socket& socket, std::string_view text, bool slowly) {
   if (!slowly) co_return (co_await socket.write_all(text)).ok();
   while (!text.empty()) {
@@ -117,6 +187,7 @@
     if (fault != http::Fault::none) break;
   }
   if (status != 200) record_.note("answer", {{"id", id}, {"status", status}});
+  if (status == 200 && fault != http::Fault::none) record_.note("stream_cut", {{"id", id}});
   co_return fault == http::Fault::none&& head.keep_alive;
 }
 
