A prefill is taken as running in a jam only: where it was expected soon, the limit counts from its write

What callers saw: KV cache held 1,355 to 1,520 ms where 1,300 are allowed, at a limit of 1,000 ms, after a prefill whose answer was lost on an open connection and that was expected to run for 250 to 500 ms. Cause: Policy::runs_for() gave the whole expectation where it lay under half of the limit, and the release left at expectation + limit + 50 ms after the write: past limit + 300 ms as soon as the expectation is over 250 ms. Change: no expectation under half of the limit. In a jam it is believed until late, as before: the known red case.

--- a/router/kv_releaser.cpp
+++ b/router/kv_releaser.cpp
@@ -327,8 +327,8 @@
     const bool heard_lately = link.heard > 0 && loop_.now() - link.heard <= limit_;
     return &out.emplace_back(ReleaseCandidate{.worker = worker,
                                               .heard = link.heard,
-                                              .drains = link.not_ready_since > 0,
-                                              .connected = heard_lately && link.pool->has_rested()});
+                                              .connected = heard_lately && link.pool->has_rested(),
+                                              .drains = link.not_ready_since > 0});
   };
   for (const int worker : fleet_.running()) add(worker);
   const auto candidate = [&](const HoldWorker& worker) {
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -881,11 +881,11 @@
     s_.in_flight += flies(stage) - flies(q.stage);
     q.stage = stage;
   }
-  // Rule 5: for so long a read is taken as running and its state as not there yet. In a jam until it is late, as letting go of
-  // it would void it, and the reads that are made in its place lengthen the jam; not at all where the request may not be repeated.
+  // Rule 5: for so long a read is taken as running and its state as not there yet. Only in a jam, until it is late: letting go
+  // of it would void it, and the reads that are made in its place lengthen the jam. Never where the request may not be repeated.
   Nanos runs_for(const Sequence& q, const Attempt& a) const {
     if (type(q).effect == Effect::once_only) return 0;
-    return a.expected > d_.pin_limit / 2 ? late_after(a) : a.expected;
+    return a.expected > d_.pin_limit / 2 ? late_after(a) : 0;
   }
   Nanos late_after(const Attempt& a) const { return kGrace + nanos(kLate * seconds(a.expected)); }
   bool open(const Sequence& q) const { return q.stage != Stage::streaming && q.stage != Stage::over; }
