Review finds: calls without a connection are not told calls, late debts at exit are owed, no state before what may throw

What callers saw: KV cache held 795 to 2,020 ms at a limit of 300 ms and 830 to 1,490 ms at 500, one worker in reach, 12 or 16 connections in all. Cause: a call that found no room counted as one that told its worker, so that the worker in reach was passed over and the pauses grew. Now only calls that had a connection count (Exchange::crowded, ReleaseCalls). 2. A client that left over 3 s after the process had closed: one state held at exit, no DELETE. Cause: hurry() set one end for all debts. Now a request that ends late has the time of one call all the same. 3. By reading: a throwing push or spawn left a lease marked as listed, watched or releasing that was not; a stale entry started a second chain of due moments; an exception in check_begun() made a prefill that had left whole a refused one. Tests: releases that contend for few connections (tests/release_test.cpp), a client that leaves 3 s after the process has closed (tests/shutdown_test.cpp); both pass now.

--- a/http/client.cpp
+++ b/http/client.cpp
@@ -243,6 +243,7 @@
   Exchange out;
   Lease lease(std::move(pool), reuse, priority);
   out.connected = co_await lease.take();
+  out.crowded = lease.crowded();
   if (!out.connected) co_return out;
   if (still_wanted && !still_wanted()) {
     lease.keep();
--- a/http/client.h
+++ b/http/client.h
@@ -187,6 +187,7 @@
 struct Exchange {
   Fault fault{Fault::none};
   bool connected{};
+  bool crowded{};  // not connected as there was no room on this side
   bool sent{};
   Head head;
   std::string body;
--- a/router/host.cpp
+++ b/router/host.cpp
@@ -365,7 +365,6 @@
       const bool idle = moved.bytes == 0 || manner_.unwritten_idle;
       co_return end(*ask, k, idle ? Outcome::connect_failed : Outcome::connection_lost);
     }
-    run.whole = true;
     http::Head head;
     http::Fault fault{};
     for (int i = 0; i == 0 || (fault == http::Fault::none && head.status / 100 == 1 && i < kInformed); ++i)
@@ -453,7 +452,9 @@
   const Try attempt = described(ask, k);
   ask.talk().request(attempt, text);
   const io::Moved moved = co_await connection.socket.write_all(text.body.parts);
-  if (moved.bytes > 0) check_begun(ask, *ask.runs[static_cast<std::size_t>(k)], attempt.wait);
+  Run& run = *ask.runs[static_cast<std::size_t>(k)];
+  run.whole = moved.ok();
+  if (moved.bytes > 0) check_begun(ask, run, attempt.wait);
   co_return moved;
 }
 
--- a/router/kv_lease.h
+++ b/router/kv_lease.h
@@ -28,6 +28,7 @@
   std::vector<HoldWorker> prefilled_at;  // told of a release whatever the list says of them
   std::size_t slot{kNotOwned};           // among the releaser's leases
   io::Nanos due_at{kNever};              // when it is looked at next
+  io::Nanos over_at{};                   // when the request ended
   io::Nanos asked_at{};                  // when its latest release began
   int releases_confirmed{};
   int calls_open{};    // of the release that goes on: those that a worker may still hear, timed out or not
--- a/router/kv_releaser.cpp
+++ b/router/kv_releaser.cpp
@@ -1,7 +1,6 @@
 #include "kv_releaser.h"
 
 #include <algorithm>
-#include <unordered_map>
 
 namespace cressrill::router {
 
@@ -86,7 +85,9 @@
 }
 
 void KvReleaser::request_over(const std::shared_ptr<KvLease>& lease) {
-  if (!lease->hold.request_over()) note(lease, HoldEvent::request_over);
+  if (lease->hold.request_over()) return;
+  lease->over_at = loop_.now();
+  note(lease, HoldEvent::request_over);
 }
 
 void KvReleaser::request_gone(const std::shared_ptr<KvLease>& lease) {
@@ -101,8 +102,8 @@
 
 void KvReleaser::keep(const std::shared_ptr<KvLease>& lease) {
   if (lease->slot != KvLease::kNotOwned) return;
-  lease->slot = leases_.size();
   leases_.push_back(lease);
+  lease->slot = leases_.size() - 1;
 }
 
 void KvReleaser::drop_if_free(const std::shared_ptr<KvLease>& lease) {
@@ -116,9 +117,9 @@
 void KvReleaser::watch(const std::shared_ptr<KvLease>& lease, io::Nanos not_before) {
   const io::Nanos due = std::max(lease->hold.release_due(), not_before);
   if (due >= lease->due_at) return;  // none, or looked at before
-  lease->due_at = due;
   const bool earliest = due_.empty() || due < due_.top().at;
   due_.push({due, lease});
+  lease->due_at = due;
   if (earliest) earlier_due_.notify();
 }
 
@@ -132,7 +133,7 @@
     }
     const std::shared_ptr<KvLease> lease = due_.top().lease.lock();
     due_.pop();
-    if (!lease) continue;
+    if (!lease || lease->due_at != at) continue;  // an earlier moment was named since
     lease->due_at = kNever;
     if (!lease->releasing) look_at(lease);
   }
@@ -148,16 +149,19 @@
 }
 
 void KvReleaser::begin(const std::shared_ptr<KvLease>& lease) {
-  lease->releasing = true;
   tasks_.spawn(release(lease));
+  lease->releasing = true;
 }
 
-// Where each call has failed at once, no worker is there that could hear one, and the limit's end is waited for at most.
+// Where each call has failed at once, no worker is there that could hear one, and the limit's end is waited for at most. A
+// request that ends late has time for a call all the same.
 bool KvReleaser::owes() const {
-  if (loop_.now() >= hurries_until_) return false;
   return std::ranges::any_of(leases_, [&](const auto& lease) {
+    if (!lease->hold.owed()) return false;
+    const bool time_is_left = !hurries() || loop_.now() < hurries_until_ ||
+                              loop_.now() < lease->over_at + release_call_timeout(limit_);
     const bool may_be_heard = loop_.now() < lease->hold.limit_ends() || lease->calls_open > 0;
-    return lease->hold.owed() && may_be_heard;
+    return time_is_left && may_be_heard;
   });
 }
 
@@ -267,22 +271,22 @@
 // attempt among it, ends it.
 io::Task<std::optional<io::Nanos>> KvReleaser::tell_until_confirmed(KvLease& lease) {
   std::optional<io::Nanos> confirmed;
-  std::unordered_map<int, int> told;
+  ReleaseCalls made;
   lease.calls_open = 0;
   io::Scope calls(loop_);
   const auto over = [&] { return confirmed.has_value() || lease.hold.state() != HoldState::releasing; };
   const io::Nanos until = loop_.now() + kReleaseTriedFor;
-  for (int made = 0; loop_.now() < until; ++made) {
+  while (loop_.now() < until) {
     std::vector<ReleaseCandidate> workers = candidates(lease);
-    for (ReleaseCandidate& candidate : workers) candidate.told = told[candidate.worker];
+    for (ReleaseCandidate& candidate : workers) candidate.told = made.told[candidate.worker];
     if (!workers.empty()) {
       const ReleaseCandidate& next = next_to_tell(workers);
-      ++told[next.worker];
+      ++made.told[next.worker], ++made.count;
       ++lease.calls_open;
-      calls.spawn(tell(lease, next.worker, needs_new_connection(next), confirmed));
+      calls.spawn(tell(lease, next.worker, needs_new_connection(next), made, confirmed));
     }
     const io::Nanos began = loop_.now();
-    const auto next_call = [&] { return began + pause_after(made); };
+    const auto next_call = [&] { return began + pause_after(std::max(made.count - 1, 0)); };
     while (!over() && loop_.now() < next_call()) co_await io::wait_until(loop_, lease.changed, next_call());
     if (over()) co_return confirmed;
     check_held(lease);
@@ -290,10 +294,13 @@
   co_return std::nullopt;
 }
 
-io::Task<> KvReleaser::tell(KvLease& lease, int worker, bool on_new_connection,
+io::Task<> KvReleaser::tell(KvLease& lease, int worker, bool on_new_connection, ReleaseCalls& made,
                             std::optional<io::Nanos>& confirmed) {
   const Link* link = fleet_.find(worker);
-  if (link == nullptr) co_return;  // forgotten since it was chosen
+  if (link == nullptr) {  // forgotten since it was chosen
+    --lease.calls_open;
+    co_return;
+  }
   const HoldWorker told{worker, link->identity};
   lease.trace.add({.at = loop_.now(),
                    .step = Step::release_told,
@@ -311,6 +318,7 @@
       http::exchange(link->pool, lease.talk->release(0, link->listed.address), still_wanted,
                      on_new_connection ? http::Reuse::never : http::Reuse::allowed, http::Priority::release));
   if (answer) --lease.calls_open;
+  if (answer && answer->crowded) --made.told[worker], --made.count;  // nobody was told
   if (!answer || !answer->ok() || answer->head.status / 100 != 2) co_return;
   if (find(told) != nullptr) fleet_.at(worker).answered(written, loop_.now());
   lease.trace.add(
--- a/router/kv_releaser.h
+++ b/router/kv_releaser.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <queue>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "core/counters.h"
@@ -71,7 +72,13 @@
   void confirmed(const std::shared_ptr<KvLease>& lease, io::Nanos written, bool ordered);
   // When the release that a worker confirmed had been written; none where none did.
   io::Task<std::optional<io::Nanos>> tell_until_confirmed(KvLease& lease);
-  io::Task<> tell(KvLease& lease, int worker, bool on_new_connection, std::optional<io::Nanos>& confirmed);
+  // The calls of one release that had a connection.
+  struct ReleaseCalls {
+    std::unordered_map<int, int> told;  // how often each worker was
+    int count{};
+  };
+  io::Task<> tell(KvLease& lease, int worker, bool on_new_connection, ReleaseCalls& made,
+                  std::optional<io::Nanos>& confirmed);
   std::vector<ReleaseCandidate> candidates(const KvLease& lease) const;
   const Link* find(const HoldWorker& worker) const;
   void gather_evidence(KvLease& lease);
--- a/tests/release_test.cpp
+++ b/tests/release_test.cpp
@@ -130,6 +130,20 @@
       }
 }
 
+// Guards against calls that found no room counting as told: the one worker in reach is then passed over.
+TEST_CASE("releases that contend for few connections: the one worker in reach is told in time") {
+  for (const std::size_t all : {std::size_t{12}, std::size_t{16}})
+    for (const int limit_ms : {300, 500})
+      for (const char* in_reach : {"reader-0", "writer-1", "writer-3"}) {
+        CAPTURE(all);
+        CAPTURE(limit_ms);
+        CAPTURE(std::string(in_reach));
+        Site s(2, 4, with_limit(limit_ms));
+        bound_connections(s, all, all);
+        check_released_beside_streams(s, limit_ms, in_reach);
+      }
+}
+
 // The same, where they have all that the one worker in reach may have.
 TEST_CASE("attempts hold all connections that a worker may have: what is held is released there in time") {
   for (const int each : {kFewEach, kEnoughEach})
--- a/tests/shutdown_test.cpp
+++ b/tests/shutdown_test.cpp
@@ -56,6 +56,31 @@
   }
 }
 
+// Guards against an exit that takes a debt for over as it arises.
+TEST_CASE("a client that leaves 3 s after the process has closed: what its request left is released") {
+  for (const int limit_ms : {300, 1000})
+    for (const int leaves_ms : {3100, 3400}) {
+      CAPTURE(limit_ms);
+      CAPTURE(leaves_ms);
+      Site s(2, 2, with_limit(limit_ms));
+      warm(s);
+      for (auto& w : s.workers) w->cut = true;
+      s.node->announce_end();
+      s.pass(450);
+      s.node->drain();
+      s.pass(100);
+      s.send("a", Site::call("a1", Site::prompt(), "8000"), leaves_ms * kMs);
+      s.pass(30);
+      s.node->close();
+      s.pass(leaves_ms - 200);
+      for (auto& w : s.workers)
+        if (w->reads) w->cut = false, w->cut_connections = w->connections;
+      REQUIRE(s.until([&] { return s.node->host().live() == 0; }));
+      CHECK(s.until([&] { return s.node->settled(); }));
+      CHECK(s.states.empty());
+    }
+}
+
 // Guards against a request that the machine has accepted and that nobody reads: its connection would be reset.
 TEST_CASE("a connection that the machine accepted before the listener closes is answered") {
   Site s(1, 1);
