A connection that always has data to read gives up its turn after four reads

Cause: Socket::read_some() suspends only where the socket has nothing to read. A read that fills its buffer leaves the socket readable, so that a coroutine whose peer sends as fast as it reads, and whose data wakes nobody (comment lines never reach the outbox), never returns to the event loop.

Three stacks of the router taken by gdb 0.5 s apart while it stood: each in SseParser::next() or below it, under relay_stream(), all under the same Loop::run_until(). strace for 3 s: 4,307 recvfrom and no other call, so neither epoll_wait nor a send. That rules out a wait on another peer, and a client's connection that blocks.

Change: a socket is read four times at most between two polls of the loop, then the coroutine yields. Loop::yield() resumes after the next poll of the sockets, behind the coroutines that this poll made ready, so that a busy connection gets one turn for each poll however many rounds there are. It stands in read_some(), as every path that reads without end has the same fault: streams, bodies of requests and of responses, discovery.

Why it works: a turn is four reads of 64 KiB at most, after which timers and all other connections run.

--- a/io/loop.cpp
+++ b/io/loop.cpp
@@ -119,7 +119,15 @@
       if (descriptor->write_waiter != nullptr) make_ready(*descriptor->write_waiter);
     }
   }
-  return event_count > 0;
+  const bool resumed = resume_yielded();
+  return event_count > 0 || resumed;
+}
+
+// Makes the coroutines ready that gave up their turn, behind those that are ready already.
+bool Loop::resume_yielded() {
+  if (yielded_.empty()) return false;
+  ready_.splice(ready_.end(), yielded_);
+  return true;
 }
 
 bool Loop::fire_due_timers() {
@@ -156,6 +164,10 @@
       continue;
     }
     rounds = 0;
+    if (!yielded_.empty()) {
+      poll_descriptors(0);
+      continue;
+    }
     if (clock_ == Clock::simulated) {
       if (poll_in_transit()) continue;
       const Nanos next = timers_.next_due();
--- a/io/loop.h
+++ b/io/loop.h
@@ -126,6 +126,23 @@
   Sleep sleep_until(Nanos time) { return Sleep(*this, time); }
   Sleep sleep_for(Nanos duration) { return Sleep(*this, now_ + duration); }
 
+  // co_await loop.yield() resumes after the sockets have been polled and the coroutines that are ready by
+  // then have run. For work that would otherwise go on without ever waiting.
+  struct Yield : Waiter {
+    explicit Yield(Loop& owner) : loop(owner) {}
+    Yield(Yield&&) = delete;
+    bool await_ready() const noexcept { return false; }
+    void await_suspend(std::coroutine_handle<> h) {
+      handle = h;
+      loop.yielded_.push_back(*this);
+    }
+    void await_resume() const noexcept {}
+    Loop& loop;
+  };
+  Yield yield() { return Yield(*this); }
+  // The number of times that the sockets were polled.
+  std::uint64_t poll_count() const { return system_calls_.count(SystemCall::epoll_wait); }
+
   // Observers of failures that the process survives: system calls that failed for a reason other than the
   // peer, and tasks that ended with an exception. first: no failure with the same call and errno was reported
   // before.
@@ -155,6 +172,7 @@
  private:
   bool run_ready();
   bool poll_descriptors(int timeout_ms);
+  bool resume_yielded();
   bool fire_due_timers();
   void read_clock();
   bool poll_in_transit();
@@ -175,6 +193,7 @@
   TaskFailureObserver observe_task_failure_;
   Waiter round_end_;  // marks the end of the current round in the ready queue
   intrusive::list<Waiter, intrusive::constant_time_size<false>> ready_;
+  intrusive::list<Waiter, intrusive::constant_time_size<false>> yielded_;  // ready after the next poll
   TimerWheel<Timer> timers_;
 };
 
--- a/io/socket.cpp
+++ b/io/socket.cpp
@@ -109,7 +109,7 @@
 }
 
 int Socket::adopt(Loop& loop, int fd, Socket& out) {
-  auto state = std::unique_ptr<State>(new State{loop, fd, {}, 0, false, false, false});
+  auto state = std::unique_ptr<State>(new State{.loop = loop, .fd = fd, .descriptor = {}});
   const int error = loop.register_descriptor(fd, state->descriptor);
   if (error == 0) out.state_ = std::move(state);
   return error;
@@ -165,6 +165,19 @@
   state_->descriptor.readable = true;
 }
 
+bool Socket::read_turn_is_over() const {
+  // A read takes 64 KiB at most, so that a turn is short beside the time limits of other connections.
+  constexpr int kMaxReadsPerPoll = 4;
+  return state_->read_poll == state_->loop.poll_count() && state_->reads_since_poll >= kMaxReadsPerPoll;
+}
+
+void Socket::count_read() {
+  const std::uint64_t poll = state_->loop.poll_count();
+  if (state_->read_poll != poll) state_->reads_since_poll = 0;
+  state_->read_poll = poll;
+  ++state_->reads_since_poll;
+}
+
 Task<IoResult> Socket::read_some(std::span<char> buffer) {
   for (;;) {
     if (!state_) co_return IoResult{0, EBADF};
@@ -173,9 +186,14 @@
       co_await wait_readable();
       continue;
     }
+    if (read_turn_is_over()) {
+      co_await state_->loop.yield();
+      continue;
+    }
     // Data left unread by a peek may exceed one read, and epoll does not report it again.
     if (std::exchange(state_->descriptor.left_unread, false)) state_->descriptor.readable = true;
     state_->loop.count_call(SystemCall::recv);
+    count_read();
     const ssize_t received = ::recv(state_->fd, buffer.data(), buffer.size(), 0);
     if (received >= 0) {
       state_->loop.count_transfer(-received);
--- a/io/socket.h
+++ b/io/socket.h
@@ -53,7 +53,8 @@
   // FIN.
   void close(bool reset = false);
 
-  // Reads what has been received. Suspends until data, the end of the stream or an error is available.
+  // Reads what has been received. Suspends until data, the end of the stream or an error is available, and
+  // for a turn of the loop after some reads, however fast the peer sends.
   Task<IoResult> read_some(std::span<char> buffer);
   // Writes everything, or returns an error and the number of bytes that the kernel accepted. Several parts
   // are written with few system calls (sendmsg(2)). The data has to stay valid until the task has finished.
@@ -91,8 +92,13 @@
     bool probed{};       // a probe read was made since the last read that returned data
     bool probing{};      // the next read is the probe read
     bool short_reads{};  // a probe read has found data: the receive buffer may hold data after a short read
+    std::uint64_t read_poll{};  // Loop::poll_count() at the last read
+    int reads_since_poll{};     // made since that poll
   };
   Task<> wait_readable();
+  // Whether the socket has been read as often as is allowed between two polls of the loop.
+  bool read_turn_is_over() const;
+  void count_read();
   Task<bool> wait_writable();
   // Whether to retry a failed call. Suspends first for the retry delay, if the error asks for one.
   Task<bool> should_retry(SystemCall call, int error);
--- a/tests/io_test.cpp
+++ b/tests/io_test.cpp
@@ -73,6 +73,53 @@
   CHECK(received == 10'000);
 }
 
+// Guards against a peer that sends faster than it is read, and so stops every other connection and timer.
+TEST_CASE("reading a connection that always has data leaves turns to other connections and to timers") {
+  constexpr std::size_t kBacklogBytes = 100'000;
+  io::Loop loop;
+  io::Listener listener(loop, kAnyPort);
+  io::Scope scope(loop);
+  std::size_t bytes_read = 0;
+  std::size_t read_when_answered = kBacklogBytes;  // from the busy connection, when the other got its reply
+  std::size_t read_when_timer_fired = kBacklogBytes;
+  io::Socket busy_peer;
+  io::Socket busy;
+  io::Socket quiet_peer;
+  io::Socket quiet;
+  scope.spawn([](io::Loop& event_loop, io::Listener& from, io::Socket& client, io::Socket& server,
+                 io::Socket& other_client, io::Socket& other_server) -> io::Task<> {
+    co_await io::connect(event_loop, from.address(), client);
+    server = co_await from.accept();
+    co_await io::connect(event_loop, from.address(), other_client);
+    other_server = co_await from.accept();
+    co_await client.write_all(std::string(kBacklogBytes, 'x'));
+  }(loop, listener, busy_peer, busy, quiet_peer, quiet));
+  loop.run_until([&] { return scope.empty(); });
+  scope.spawn([](io::Socket& socket, std::size_t& bytes) -> io::Task<> {
+    std::array<char, 500> buffer;
+    while (bytes < kBacklogBytes) bytes += (co_await socket.read_some(buffer)).bytes;
+  }(busy, bytes_read));
+  scope.spawn([](io::Socket& socket) -> io::Task<> {
+    std::array<char, 1> buffer;
+    co_await socket.read_some(buffer);
+    co_await socket.write_all("b");
+  }(quiet));
+  scope.spawn([](io::Socket& socket, std::size_t& bytes, std::size_t& bytes_at_reply) -> io::Task<> {
+    std::array<char, 1> buffer;
+    co_await socket.write_all("a");
+    co_await socket.read_some(buffer);
+    bytes_at_reply = bytes;
+  }(quiet_peer, bytes_read, read_when_answered));
+  scope.spawn([](io::Loop& event_loop, std::size_t& bytes, std::size_t& bytes_at_timer) -> io::Task<> {
+    co_await event_loop.sleep_for(0);
+    bytes_at_timer = bytes;
+  }(loop, bytes_read, read_when_timer_fired));
+  loop.run_until([&] { return scope.empty(); });
+  CHECK(bytes_read == kBacklogBytes);
+  CHECK(read_when_answered < kBacklogBytes / 2);
+  CHECK(read_when_timer_fired < kBacklogBytes / 2);
+}
+
 TEST_CASE(
     "timers fire by due time, then in the order in which they were set; the simulated clock advances to "
     "them") {
