A client with many requests in the buffer gives up its turn between them

Change: Server::serve_requests() yields between two requests if bytes of a further one are in the buffer already. A client that sends one request at a time never yields.

--- a/http/server.cpp
+++ b/http/server.cpp
@@ -327,7 +327,11 @@
     const HandlerOutcome outcome = co_await handle(request, response);
     if (outcome == HandlerOutcome::no_response) co_return ConnectionEnd::unanswered;
     if (outcome == HandlerOutcome::client_left || response.write_failed()) co_return ConnectionEnd::by_client;
-    if (response.keep_alive() && !is_last()) continue;
+    if (response.keep_alive() && !is_last()) {
+      // Requests that are already in the buffer need no wait, and their client may send them without end.
+      if (session.reader.has_leftover()) co_await loop_.yield();
+      continue;
+    }
     co_await close_gracefully(socket, session.evicted, DataUntilClose::keep_unread);
     co_return ConnectionEnd::after_answer;
   }
--- a/tests/io_test.cpp
+++ b/tests/io_test.cpp
@@ -120,6 +120,35 @@
   CHECK(read_when_timer_fired < kBacklogBytes / 2);
 }
 
+// Guards against a client that sends many requests at once, and so stops every other connection.
+TEST_CASE("a client with many requests in the buffer does not delay the response to another client") {
+  constexpr std::size_t kPipelined = 500;
+  io::Loop loop;
+  std::size_t served = 0;
+  std::size_t served_when_answered = kPipelined;  // of the pipelined requests
+  http::Server server(loop, kAnyPort,
+                      [&](http::Request& request, http::ResponseWriter& response) -> io::Task<> {
+                        request.head.target == "/other" ? served_when_answered = served : ++served;
+                        co_await response.respond(200, "", "");
+                      });
+  std::string pipelined;
+  for (std::size_t i = 0; i < kPipelined; ++i) pipelined += "GET / HTTP/1.1\r\n\r\n";
+  io::Scope scope(loop);
+  const auto connect_and_send = [&](std::string text, io::Socket& socket) {
+    scope.spawn(
+        [](io::Loop& event_loop, io::Address address, std::string sent, io::Socket& out) -> io::Task<> {
+          co_await io::connect(event_loop, address, out);
+          co_await out.write_all(sent);
+        }(loop, server.address(), std::move(text), socket));
+  };
+  io::Socket busy_client;
+  io::Socket other_client;
+  connect_and_send(std::move(pipelined), busy_client);
+  connect_and_send("GET /other HTTP/1.1\r\n\r\n", other_client);
+  loop.run_until([&] { return served == kPipelined; });
+  CHECK(served_when_answered < kPipelined / 2);
+}
+
 TEST_CASE(
     "timers fire by due time, then in the order in which they were set; the simulated clock advances to "
     "them") {
