Interim responses ahead of a response are skipped, however many there are

Cause: a 1xx head was returned to the caller like a final one, and each caller had to know that more would come. An attempt skipped fifteen and took the 16th for the response; it has no body, so that the connection looked free and went back to the pool with its real response still to come. Releases and discovery read one head and took the first.

The tests below pass for 1 and 15 and fail for 16, 17 and 40; for releases they fail from the first one on, which rules out that only the number 16 is wrong. Late second responses (a known way to a foreign answer) play no part: no worker sends any.

Change: MessageReader::read_head() skips interim responses (RFC 9110, 15.2: any number), so that no caller sees one. 101 is an error and its connection is closed, as no request of ours asks for another protocol.

Why it works: read_head() is the one place that reads heads, so a connection returns to the pool only behind a final response. How long interim responses may go on is limited by the attempt's deadline and the time of a call.

--- a/http/message.cpp
+++ b/http/message.cpp
@@ -145,6 +145,12 @@
   return MessageError::malformed;
 }
 
+constexpr int kSwitchingProtocols = 101;
+
+// RFC 9110, 15.2: any number of interim responses may precede the final one. 101 is the last response before
+// another protocol, which no request of ours asks for.
+bool is_interim(int status) { return status / 100 == 1 && status != kSwitchingProtocols; }
+
 }  // namespace
 
 // Buffers start small, as many streams are idle most of the time, and grow while reads fill them.
@@ -256,11 +262,17 @@
     out.reserve(state.size - state.consumed);
     state.parse(parse_error);
     if (parse_error) co_return to_message_error(parse_error);
-    if (state.parser->head_done()) break;
+    if (state.parser->head_done()) {
+      if (state.kind == MessageKind::request || !is_interim(out.status)) break;
+      state.start_message(&out);
+      out.clear();
+      continue;
+    }
     if (state.size - state.consumed > state.limits.head_bytes) co_return MessageError::head_too_large;
     const MessageError error = co_await state.receive();
     if (error != MessageError::none) co_return error;
   }
+  if (out.status == kSwitchingProtocols) co_return MessageError::malformed;
   out.keep_alive = state.parser->keep_alive();
   co_return MessageError::none;
 }
--- a/http/message.h
+++ b/http/message.h
@@ -73,7 +73,8 @@
   ~MessageReader();
   MessageReader(MessageReader&&) noexcept;
 
-  // Reads the head of the next message.
+  // Reads the head of the next message. Interim responses (1xx) are skipped: their request is not answered
+  // until the final response has been read, however many there are.
   io::Task<MessageError> read_head(Head& out);
   // Waits for body data and returns it as pieces of the buffer, which are valid until the next call; each is
   // followed by kReadPaddingBytes readable bytes. The total size is not limited here.
--- a/router/host.cpp
+++ b/router/host.cpp
@@ -9,7 +9,6 @@
 
 constexpr std::size_t kMaxOutboxBytes = 64 * 1024;  // buffered for one client before its stream is paused
 constexpr std::size_t kMaxBufferedResponseBytes = 8 * 1024 * 1024;
-constexpr int kMaxInformationalResponses = 16;  // 1xx responses ahead of the final one
 
 // Names used in logs and metrics; some differ from the enumerators.
 const char* to_string(Outcome outcome) {
@@ -411,11 +410,7 @@
                             not_run ? Outcome::connect_failed : Outcome::connection_lost);
     }
     http::Head head;
-    http::MessageError error{};
-    for (int i = 0; i == 0 || (error == http::MessageError::none && head.status / 100 == 1 &&
-                               i < kMaxInformationalResponses);
-         ++i)
-      error = co_await lease->reader->read_head(head);
+    http::MessageError error = co_await lease->reader->read_head(head);
     attempt.response_received = error != http::MessageError::closed;
     if (attempt.response_received) {
       worker.record_response(attempt.write_started_at, loop_.now());
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -893,6 +893,35 @@
     }
 }
 
+// Guards against a client that gets the response to another client's request (review/2).
+TEST_CASE("interim responses before a response, however many: each client gets its own response, once") {
+  for (const char* worker_name : {"reader-0", "writer-0"})
+    for (const std::size_t interim_count : {1, 15, 16, 17, 40}) {
+      CAPTURE(std::string(worker_name));
+      CAPTURE(interim_count);
+      PlatformFixture fixture(1, 1);
+      const bool at_prefill = worker_name[0] == 'r';
+      std::string interim_responses;
+      for (std::size_t i = 0; i < interim_count; ++i) interim_responses += "HTTP/1.1 102 Processing\r\n\r\n";
+      const std::string response =
+          at_prefill ? "HTTP/1.1 202 Accepted\r\ncontent-length: 19\r\n\r\n{\"cached_tokens\":77}"
+                     : FakeWorker::stream_head() + FakeWorker::chunked(whole_stream(2)) + "0\r\n\r\n";
+      // The response comes after the time for which a returned connection is not reused (50 ms).
+      fixture.worker(worker_name).script = {{.response = interim_responses,
+                                             .finish = ScriptedResponse::Finish::keep_alive,
+                                             .leaves_kv = at_prefill,
+                                             .late_response = response,
+                                             .late_delay = 100 * kMs,
+                                             .takes_kv = !at_prefill}};
+      fixture.send("a", PlatformFixture::request("a1"));
+      fixture.run_for(at_prefill ? 70 : 90);
+      fixture.send("b", PlatformFixture::request("b1"));
+      CHECK(fixture.response("a").body == whole_stream(at_prefill ? 3 : 2));
+      CHECK(fixture.response("b").body == whole_stream(3));
+      CHECK(fixture.count_requests("POST") == 4);
+    }
+}
+
 TEST_CASE("a version that decreases leads to a fetch of the full list") {
   PlatformFixture fixture(1, 1);
   fixture.discovery.rev = 5;
--- a/tests/pool_test.cpp
+++ b/tests/pool_test.cpp
@@ -92,6 +92,59 @@
   }
 }
 
+// Guards against an interim response that is taken for the response, so that every later response on the
+// connection belongs to the request before.
+TEST_CASE("interim responses before a response, however many, are skipped, and the connection stays usable") {
+  constexpr std::size_t kRequests = 3;
+  for (const std::size_t interim_count : {0, 1, 15, 16, 17, 500}) {
+    CAPTURE(interim_count);
+    io::Loop loop(io::Loop::Clock::simulated);
+    io::Listener listener(loop, kAnyPort);
+    io::Scope scope(loop);
+    scope.spawn([](io::Listener& from, std::size_t count) -> io::Task<> {
+      io::Socket socket = co_await from.accept();
+      http::MessageReader reader(socket, http::MessageKind::request);
+      http::Head head;
+      while (co_await reader.read_head(head) == http::MessageError::none) {
+        for (std::size_t i = 0; i < count; ++i)
+          co_await socket.write_all("HTTP/1.1 102 Processing\r\nx-progress: 1\r\n\r\n");
+        co_await socket.write_all(http::format_response(200, "", head.target, true));
+      }
+    }(listener, interim_count));
+    const auto pool = std::make_shared<http::Pool>(loop, listener.address());
+    std::string bodies;
+    bool finished = false;
+    scope.spawn([](std::shared_ptr<http::Pool> from, std::string& out, bool& done) -> io::Task<> {
+      for (std::size_t i = 0; i < kRequests; ++i) {
+        const http::ExchangeResult result = co_await http::exchange(
+            from, http::format_request("DELETE", "/" + std::to_string(i), "h", "", ""));
+        out += std::to_string(result.head.status) + " " + result.body + ";";
+      }
+      done = true;
+    }(pool, bodies, finished));
+    loop.run_until([&] { return finished; });
+    CHECK(bodies == "200 /0;200 /1;200 /2;");
+    CHECK(pool->dial_count() == 1);
+  }
+}
+
+TEST_CASE("a switch of protocols that nobody asked for is an error, and its connection is not reused") {
+  io::Loop loop(io::Loop::Clock::simulated);
+  RawServer server;
+  const auto pool = std::make_shared<http::Pool>(loop, server.address());
+  http::ExchangeResult result;
+  io::Scope scope(loop);
+  scope.spawn([](std::shared_ptr<http::Pool> from, http::ExchangeResult& out) -> io::Task<> {
+    out = co_await http::exchange(from, http::format_request("GET", "/", "h", "", ""));
+  }(pool, result));
+  run_for(loop, 10);
+  const std::unique_ptr<RawConnection> connection = server.accept();
+  connection->write("HTTP/1.1 101 Switching Protocols\r\nupgrade: x\r\nconnection: upgrade\r\n\r\n");
+  loop.run_until([&] { return scope.empty(); });
+  CHECK(result.error == http::MessageError::malformed);
+  CHECK(pool->open_count() == 0);
+}
+
 // Guards against a release that gets no connection while attempts wait for responses of
 // unresponsive workers.
 TEST_CASE(
