What surrounds the data of a chunked body is limited to 16 KiB

The router used 196.8 MB of 192 MB within half a second and was killed; three requests of other clients got no response.

Cause: the parser consumes a line of the chunked framing once it is complete. Until then MessageReader kept all that came and doubled its buffer each time it was full. The limits on heads and bodies count what has been parsed, so neither counted such a line. Trailer sections and responses go the same way.

Change: MessageLimits::framing_bytes. A body whose unparsed bytes exceed it ends with framing_too_large: a client gets 400 and an orderly close, an attempt ends as with any malformed response and is sent again at once.

Why it works: data of a body is consumed as it comes, so that bytes that stay unparsed are always framing, and the buffer stops growing at 64 KiB.

--- a/http/message.cpp
+++ b/http/message.cpp
@@ -47,8 +47,9 @@
 }
 
 const char* to_string(MessageError error) {
-  static constexpr const char* names[] = {"none",           "closed",    "malformed", "head too large",
-                                          "body too large", "timed out", "no room"};
+  static constexpr const char* names[] = {"none",           "closed",         "malformed",
+                                          "head too large", "body too large", "chunk framing too large",
+                                          "timed out",      "no room"};
   return names[static_cast<int>(error)];
 }
 
@@ -290,6 +291,8 @@
     }
     if (parse_error) co_return to_message_error(parse_error);
     if (state.pieces_returned || state.parser->done()) co_return MessageError::none;
+    // The parser consumes data at once, but a line of the framing only once it is complete.
+    if (state.size - state.consumed > state.limits.framing_bytes) co_return MessageError::framing_too_large;
     const MessageError error = co_await state.receive();
     if (error != MessageError::none) co_return error;
   }
--- a/http/message.h
+++ b/http/message.h
@@ -15,10 +15,12 @@
 namespace cressrill::http {
 
 // Limits on messages that are read. body_bytes applies to requests, and to response bodies that are read into
-// one string.
+// one string. framing_bytes applies to what surrounds the data of a chunked body: the size line of a chunk
+// with its extensions, and the trailer section.
 struct MessageLimits {
   std::size_t head_bytes = 64 * 1024;
   std::size_t body_bytes = 8 * 1024 * 1024;
+  std::size_t framing_bytes = 16 * 1024;
 };
 
 // Bytes past the end of received data that are always readable, as simdjson needs (SIMDJSON_PADDING).
@@ -53,12 +55,13 @@
 // Why a message could not be read completely.
 enum class MessageError {
   none,
-  closed,          // the peer closed or broke the connection before the end of the message
-  malformed,       // not HTTP, or ambiguous framing (RFC 9112, section 6.3)
-  head_too_large,  // exceeds MessageLimits::head_bytes
-  body_too_large,  // exceeds MessageLimits::body_bytes
-  timed_out,       // the rest of a partly received request did not arrive in time
-  no_capacity,     // a partly received request was abandoned because the server is at its connection limit
+  closed,             // the peer closed or broke the connection before the end of the message
+  malformed,          // not HTTP, or ambiguous framing (RFC 9112, section 6.3)
+  head_too_large,     // exceeds MessageLimits::head_bytes
+  body_too_large,     // exceeds MessageLimits::body_bytes
+  framing_too_large,  // exceeds MessageLimits::framing_bytes
+  timed_out,          // the rest of a partly received request did not arrive in time
+  no_capacity,        // a partly received request was abandoned because the server is at its connection limit
 };
 // The error in words, for error bodies.
 const char* to_string(MessageError error);
--- a/tests/client_connection_test.cpp
+++ b/tests/client_connection_test.cpp
@@ -97,6 +97,28 @@
   }
 }
 
+// Guards against clients that make the router keep in memory whatever they send (review/3).
+TEST_CASE(
+    "a client whose chunk size line does not end gets a 400 and a close at once, whatever it goes on to "
+    "send") {
+  constexpr std::size_t kSentBytes = 1'000'000;
+  const std::string request = PlatformFixture::request("a1");
+  PlatformFixture fixture(1, 1);
+  RawClient client(fixture.node->address());
+  client.write(request.substr(0, request.find("Content-Length")) + "Transfer-Encoding: chunked\r\n\r\n1f;x=");
+  const std::string line(kSentBytes / 10, 'x');
+  for (std::size_t sent = 0; sent < kSentBytes; sent += line.size()) {
+    client.write(line);
+    fixture.run_for(1);
+  }
+  client.read();
+  CHECK(client.text().starts_with("HTTP/1.1 400"));
+  CHECK(client.ended());
+  CHECK(fixture.count_requests("POST") == 0);
+  fixture.run_for(1500);
+  CHECK(fixture.node->connections() == 0);
+}
+
 // Clients that read more slowly than their worker writes.
 
 namespace {
--- a/tests/io_test.cpp
+++ b/tests/io_test.cpp
@@ -468,6 +468,51 @@
   }
 }
 
+// Guards against a line without an end between the chunks of a body, which is kept in memory without a limit.
+TEST_CASE("what surrounds the data of a chunked body is limited in requests and in responses") {
+  constexpr std::size_t kLimit = 16 * 1024;
+  const std::string request_head = "POST / HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n";
+  const std::string response_head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+  // Reads one message, whose peer sends `body` and then waits; nothing while the message is incomplete.
+  const auto read_message = [&](http::MessageKind kind, const std::string& body) {
+    io::Loop loop(io::Loop::Clock::simulated);
+    io::Listener listener(loop, kAnyPort);
+    io::Socket peer;
+    std::optional<http::MessageError> result;
+    io::Scope scope(loop);
+    const std::string& head = kind == http::MessageKind::request ? request_head : response_head;
+    scope.spawn(
+        [](io::Loop& event_loop, io::Address address, std::string text, io::Socket& out) -> io::Task<> {
+          co_await io::connect(event_loop, address, out);
+          co_await out.write_all(text);
+        }(loop, listener.address(), head + body, peer));
+    scope.spawn([](io::Listener& from, http::MessageKind message_kind,
+                   std::optional<http::MessageError>& out) -> io::Task<> {
+      io::Socket socket = co_await from.accept();
+      http::MessageReader reader(socket, message_kind);
+      http::Head received_head;
+      std::string received_body;
+      if (const auto error = co_await reader.read_head(received_head); error != http::MessageError::none)
+        co_return void(out = error);
+      out = co_await reader.read_body(received_body);
+    }(listener, kind, result));
+    run_for(loop, 1000);
+    return result;
+  };
+  const std::string within(kLimit - 100, 'x');
+  const std::string beyond(kLimit + 100, 'x');
+  for (const http::MessageKind kind : {http::MessageKind::request, http::MessageKind::response}) {
+    CHECK(read_message(kind, "1;a=" + within + "\r\nb\r\n0\r\nt: " + within + "\r\n\r\n") ==
+          http::MessageError::none);
+    CHECK(read_message(kind, "1;a=" + within) == std::nullopt);
+    CHECK(read_message(kind, "1;a=" + beyond) == http::MessageError::framing_too_large);
+    CHECK(read_message(kind, "1\r\nb\r\n1;a=" + beyond) == http::MessageError::framing_too_large);
+    CHECK(read_message(kind, "1\r\nb\r\n0;a=" + beyond) == http::MessageError::framing_too_large);
+    CHECK(read_message(kind, "1\r\nb\r\n0\r\nt: " + beyond) == http::MessageError::framing_too_large);
+    CHECK(read_message(kind, std::string(kLimit + 100, '0')) == http::MessageError::framing_too_large);
+  }
+}
+
 TEST_CASE("a streamed response may have any length; one that is read into a string is limited") {
   io::Loop loop(io::Loop::Clock::simulated);
   constexpr std::size_t kChunks = 300;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -893,6 +893,25 @@
     }
 }
 
+// Guards against a worker that makes the router keep in memory whatever it sends.
+TEST_CASE("a worker whose chunk size line does not end is given up at once, and the request is sent again") {
+  for (const char* worker_name : {"reader-0", "writer-0"}) {
+    CAPTURE(std::string(worker_name));
+    PlatformFixture fixture(1, 1);
+    const bool at_prefill = worker_name[0] == 'r';
+    const std::string head = at_prefill ? "HTTP/1.1 202 Accepted\r\ntransfer-encoding: chunked\r\n\r\n"
+                                        : FakeWorker::stream_head();
+    fixture.worker(worker_name).script = {{.response = head + "1f;x=" + std::string(100'000, 'x'),
+                                           .finish = ScriptedResponse::Finish::hang,
+                                           .leaves_kv = at_prefill,
+                                           .takes_kv = !at_prefill}};
+    fixture.send("a", PlatformFixture::request("a1"));
+    const ReceivedResponse& response = fixture.response("a");
+    CHECK(response.body == whole_stream(3));
+    CHECK(response.elapsed < 500 * kMs);
+  }
+}
+
 // Guards against a client that gets the response to another client's request (review/2).
 TEST_CASE("interim responses before a response, however many: each client gets its own response, once") {
   for (const char* worker_name : {"reader-0", "writer-0"})
