--- a/tests/pool_test.cpp
+++ b/tests/pool_test.cpp
@@ -92,8 +92,7 @@
   }
 }
 
-// Guards against an interim response that is taken for the response, so that every later response on the
-// connection belongs to the request before.
+// Guards against an interim response that is taken for the response to its request.
 TEST_CASE("interim responses before a response, however many, are skipped, and the connection stays usable") {
   constexpr std::size_t kRequests = 3;
   for (const std::size_t interim_count : {0, 1, 15, 16, 17, 500}) {
