A message starts with an empty head in one place; two tests use RawClient

Its check that a message is a response is dropped, as the status of a request's head is 0 and so never interim.

Two tests of io_test.cpp each had a coroutine that connects and sends, which RawClient already does; all assertions are as they were, and that the whole text was accepted is required besides.

--- a/http/message.cpp
+++ b/http/message.cpp
@@ -178,7 +178,9 @@
   io::Nanos received_at{};
   bool kernel_time_read{true};  // received_at is what the kernel reports for the last read
 
+  // Starts to read the next message into head, which is emptied. head may be null.
   void start_message(Head* head) {
+    if (head != nullptr) head->clear();
     output.head = head;
     output.pieces.clear();
     pieces_returned = false;
@@ -254,7 +256,6 @@
     state.consumed = 0;
     state.size = 0;
   }
-  out.clear();
   for (;;) {
     ErrorCode parse_error;
     // Beast parses the start line and each field as soon as they are complete, so text stored from earlier
@@ -264,9 +265,8 @@
     state.parse(parse_error);
     if (parse_error) co_return to_message_error(parse_error);
     if (state.parser->head_done()) {
-      if (state.kind == MessageKind::request || !is_interim(out.status)) break;
+      if (!is_interim(out.status)) break;  // the status of a request is 0
       state.start_message(&out);
-      out.clear();
       continue;
     }
     if (state.size - state.consumed > state.limits.head_bytes) co_return MessageError::head_too_large;
--- a/tests/io_test.cpp
+++ b/tests/io_test.cpp
@@ -9,6 +9,7 @@
 #include "http/server.h"
 #include "io/timer_wheel.h"
 #include "loopback.h"
+#include "raw_client.h"
 
 namespace cressrill::testing {
 
@@ -133,18 +134,10 @@
                       });
   std::string pipelined;
   for (std::size_t i = 0; i < kPipelined; ++i) pipelined += "GET / HTTP/1.1\r\n\r\n";
-  io::Scope scope(loop);
-  const auto connect_and_send = [&](std::string text, io::Socket& socket) {
-    scope.spawn(
-        [](io::Loop& event_loop, io::Address address, std::string sent, io::Socket& out) -> io::Task<> {
-          co_await io::connect(event_loop, address, out);
-          co_await out.write_all(sent);
-        }(loop, server.address(), std::move(text), socket));
-  };
-  io::Socket busy_client;
-  io::Socket other_client;
-  connect_and_send(std::move(pipelined), busy_client);
-  connect_and_send("GET /other HTTP/1.1\r\n\r\n", other_client);
+  RawClient busy_client(server.address());
+  RawClient other_client(server.address());
+  REQUIRE(busy_client.write(pipelined) == pipelined.size());
+  other_client.write("GET /other HTTP/1.1\r\n\r\n");
   loop.run_until([&] { return served == kPipelined; });
   CHECK(served_when_answered < kPipelined / 2);
 }
@@ -477,15 +470,11 @@
   const auto read_message = [&](http::MessageKind kind, const std::string& body) {
     io::Loop loop(io::Loop::Clock::simulated);
     io::Listener listener(loop, kAnyPort);
-    io::Socket peer;
+    RawClient peer(listener.address());
     std::optional<http::MessageError> result;
     io::Scope scope(loop);
-    const std::string& head = kind == http::MessageKind::request ? request_head : response_head;
-    scope.spawn(
-        [](io::Loop& event_loop, io::Address address, std::string text, io::Socket& out) -> io::Task<> {
-          co_await io::connect(event_loop, address, out);
-          co_await out.write_all(text);
-        }(loop, listener.address(), head + body, peer));
+    const std::string text = (kind == http::MessageKind::request ? request_head : response_head) + body;
+    REQUIRE(peer.write(text) == text.size());
     scope.spawn([](io::Listener& from, http::MessageKind message_kind,
                    std::optional<http::MessageError>& out) -> io::Task<> {
       io::Socket socket = co_await from.accept();
