Count the instructions on arm64 with a kernel of its own

Cause: under valgrind the cost tool pinned simdjson's kernel "westmere", which exists on x86-64 only.

Change: the pinned kernel is that of the machine the tool is built for: "westmere" on x86-64, as before, and "arm64" on arm64. The run under valgrind exits with 3 if a request was not answered; the tool then fails with a message that names the workload, the kernel and the log, and counts nothing. The baseline, its bound and the scripts are as they were.

--- a/programs/cost.cpp
+++ b/programs/cost.cpp
@@ -5,6 +5,7 @@
 
 #include <dlfcn.h>
 #include <fmt/format.h>
+#include <sys/wait.h>
 #include <unistd.h>
 #include <valgrind/callgrind.h>
 
@@ -83,6 +84,9 @@
 
 namespace {
 
+// Exit status of the run under callgrind if a request was not answered.
+constexpr int kUnansweredRequests = 3;
+
 std::vector<Workload> workloads() {
   return {
       {.name = "stream"},
@@ -192,20 +196,32 @@
   return nullptr;
 }
 
+// The simdjson kernel of the run under callgrind, so that its counts do not depend on the processor's model.
+#if defined(__aarch64__)
+constexpr const char* kSimdjsonKernel = "arm64";
+#else
+constexpr const char* kSimdjsonKernel = "westmere";
+#endif
+
 // Runs this program again under callgrind for one workload, and adds the instructions of each stage from its
-// dumps.
+// dumps. Throws if the run failed, or if a request in it was not answered.
 void add_instructions(const Workload& workload, WorkloadCost& cost, const std::string& this_program) {
   char folder_template[] = "/tmp/cressrill-cost-XXXXXX";
   if (mkdtemp(folder_template) == nullptr)
     throw std::runtime_error("cannot create a folder for callgrind's files");
   const std::string folder = folder_template;
   const std::string command = fmt::format(
-      "SIMDJSON_FORCE_IMPLEMENTATION=westmere valgrind --tool=callgrind --collect-atstart=no "
+      "SIMDJSON_FORCE_IMPLEMENTATION={3} valgrind --tool=callgrind --collect-atstart=no "
       "--callgrind-out-file={0}/out {1} --play {2} --dump "
       ">{0}/log 2>&1",
-      folder, this_program, workload.name);
-  if (std::system(command.c_str()) != 0)
-    throw std::runtime_error("valgrind failed to run " + workload.name + ": " + folder);
+      folder, this_program, workload.name, kSimdjsonKernel);
+  const int status = std::system(command.c_str());
+  if (WIFEXITED(status) && WEXITSTATUS(status) == kUnansweredRequests)
+    throw std::runtime_error(
+        fmt::format("requests of {} were not answered under valgrind (simdjson kernel {}); nothing was "
+                    "counted: {}/log",
+                    workload.name, kSimdjsonKernel, folder));
+  if (status != 0) throw std::runtime_error("valgrind failed to run " + workload.name + ": " + folder);
   const double requests = workload.rounds * workload.concurrency;
   for (const auto& entry : std::filesystem::directory_iterator(folder)) {
     std::ifstream in(entry.path());
@@ -289,7 +305,7 @@
     for (const Workload& workload : workloads()) {
       if (!selected.empty() && std::ranges::find(selected, workload.name) == selected.end()) continue;
       WorkloadCost cost = rig::measure_cost(workload, probe);
-      if (dump) return kSuccess;
+      if (dump) return cost.failed == 0 ? kSuccess : kUnansweredRequests;
       if (std::ranges::find(with_instructions, workload.name) != with_instructions.end())
         add_instructions(workload, cost, std::filesystem::read_symlink("/proc/self/exe").string());
       fmt::print("{}\n", table(workload, cost));
