Review cases: the router's port lies below the ports of connections

Cause: a case took a free port for its router from the range from which connections get theirs, and closed it again. With many connections open one of them could get it before the router listened. A router whose port a connection holds was shown not to come up ("Address already in use").

Change: ports are taken below that range, and the log of a router that is not up goes into the record. No check, bound or disruption is changed.

--- a/review/6/stage.h
+++ b/review/6/stage.h
@@ -104,7 +104,25 @@
   port = ntohs(address.sin_port);
   return fd;
 }
+// A port for a router. It lies below the range from which connections get their own ports: one from that range could
+// be taken by a connection of this test before the router listens on it.
 inline int free_port() {
+  constexpr int kLowest = 10'000;
+  constexpr int kLeastSpan = 1'000;
+  constexpr int kStep = 211;  // between the first ports of two processes
+  static std::atomic<int> tried{0};
+  int end = 0;
+  std::ifstream("/proc/sys/net/ipv4/ip_local_port_range") >> end;
+  const int span = end - kLowest;
+  for (int i = 0; span >= kLeastSpan && i < span; ++i) {
+    const int port = kLowest + static_cast<int>((1L * ::getpid() * kStep + tried++) % span);
+    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const sockaddr_in address = loopback(port);
+    const bool is_free =
+        fd >= 0 && ::bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
+    ::close(fd);
+    if (is_free) return port;
+  }
   int port = 0;
   ::close(listen_any(port));
   return port;
@@ -568,6 +586,7 @@
         return true;
       }
     }
+    note("router on port %d is not up; its log: %s", port, log().c_str());
     return false;
   }
   // Whether the process runs; if not, `ended` tells how it ended.
