--- a/io/signals.cpp
+++ b/io/signals.cpp
@@ -26,7 +26,11 @@
   int pair[2];
   if (socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0, pair) != 0)
     throw std::system_error(errno, std::generic_category(), "socketpair");
-  receiver_ = Socket(loop, pair[0]);
+  if (const int error = Socket::adopt(loop, pair[0], receiver_); error != 0) {
+    ::close(pair[0]);
+    ::close(pair[1]);
+    throw std::system_error(error, std::generic_category(), "epoll_ctl");
+  }
   sender_fd_ = pair[1];
   sender_fd = sender_fd_;
   for (const int number : numbers_) std::signal(number, send_signal_number);
--- a/rig/soak/conductor.cpp
+++ b/rig/soak/conductor.cpp
@@ -3,7 +3,6 @@
 #include <fcntl.h>
 #include <fmt/format.h>
 #include <signal.h>
-#include <sys/mman.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -18,8 +17,8 @@
 #include "discovery.h"
 #include "http/client.h"
 #include "idle_crowd.h"
-#include "rig/fault_plan.h"
 #include "rig/process.h"
+#include "rig/shared_fault_plan.h"
 
 namespace cressrill::rig::soak {
 
@@ -74,39 +73,11 @@
   return out;
 }
 
-// A fault plan in a file that a router process maps too, so that it can be changed while the router runs.
-class SharedPlan {
- public:
-  explicit SharedPlan(std::string path) : path_(std::move(path)) {
-    const int fd = ::open(path_.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
-    if (fd < 0 || ::ftruncate(fd, sizeof(FaultPlan)) != 0)
-      throw std::system_error(errno, std::generic_category(), path_);
-    void* memory = ::mmap(nullptr, sizeof(FaultPlan), PROT_READ | PROT_WRITE, MAP_SHARED, fd, 0);
-    ::close(fd);
-    if (memory == MAP_FAILED) throw std::system_error(errno, std::generic_category(), path_);
-    plan_ = static_cast<FaultPlan*>(memory);
-  }
-  ~SharedPlan() { ::munmap(plan_, sizeof(FaultPlan)); }
-  SharedPlan(const SharedPlan&) = delete;
-  SharedPlan& operator=(const SharedPlan&) = delete;
-  FaultPlan* operator->() { return plan_; }
-  const std::string& path() const { return path_; }
-  std::uint64_t injected() const {
-    std::uint64_t total = 0;
-    for (const CallFault& fault : plan_->calls) total += fault.injected;
-    return total;
-  }
-
- private:
-  std::string path_;
-  FaultPlan* plan_{};
-};
-
 struct Router {
   std::string name;
   io::Address address;
   std::string config;
-  std::unique_ptr<SharedPlan> plan;
+  std::unique_ptr<SharedFaultPlan> plan;
   Process process;
   std::size_t agent{};
   bool open{};  // clients connect to it
@@ -202,7 +173,7 @@
       router.name = fmt::format("router-{}", i);
       router.address = free_address();
       router.config = path_in_folder(router.name + ".json");
-      router.plan = std::make_unique<SharedPlan>(path_in_folder(router.name + ".plan"));
+      router.plan = std::make_unique<SharedFaultPlan>(path_in_folder(router.name + ".plan"));
       scope_.spawn(start_router(router));
     }
   }
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -18,6 +18,22 @@
   CHECK(router.send(PlatformFixture::request("a1")).head.status == 200);
 }
 
+TEST_CASE("the program: starts although its first sockets cannot be registered with epoll") {
+  RouterProcess router;
+  const std::string plan_path = router.config_path + ".plan";
+  {
+    rig::SharedFaultPlan plan(plan_path);
+    rig::CallFault& fault = plan->of(rig::FaultyCall::epoll_add);
+    fault.max_injected = 3;
+    fault.error = ENOMEM;
+    router.start_with_faults(plan);
+    CHECK(router.run_until([&] { return !router.process.running() || router.up_status() == 200; }));
+    CHECK(router.process.running());
+    CHECK(plan.injected() == 3);
+  }
+  std::remove(plan_path.c_str());
+}
+
 TEST_CASE("the program: exits on SIGTERM while it waits for its address") {
   RouterProcess router;
   io::Listener old_listener(router.loop, router.address);
--- a/tests/router_process.h
+++ b/tests/router_process.h
@@ -13,6 +13,7 @@
 
 #include "platform_fixture.h"
 #include "rig/process.h"
+#include "rig/shared_fault_plan.h"
 
 namespace cressrill::testing {
 
@@ -54,6 +55,15 @@
     process = rig::Process({ROUTER_PROGRAM, "--platform", "--log-level", log_level},
                            log.empty() ? log_path() : log);
   }
+  // Starts the program with the fault shim, which follows the plan.
+  void start_with_faults(const rig::SharedFaultPlan& plan) {
+    const std::pair<const char*, const char*> variables[] = {{"LD_PRELOAD", FAULT_SHIM},
+                                                             {"ASAN_OPTIONS", "verify_asan_link_order=0"},
+                                                             {rig::kFaultPlanVariable, plan.path().c_str()}};
+    for (const auto& [name, value] : variables) ::setenv(name, value, 1);
+    start();
+    for (const auto& [name, value] : variables) ::unsetenv(name);
+  }
   // Runs until `done` holds, for at most 20 s; returns whether it holds.
   bool run_until(const std::function<bool()>& done) {
     io::Scope scope(loop);
