Soak checker: a worker's stop before its write, and a halt of the soak itself

Change: an event counts from the end of a stop of its own worker that began within 30 ms of the record, and from no other stop; the 300 ms still hold from there. The conductor records when its own process was held up (a 10 ms timer that is 20 ms late or more), and only the part of such a halt that lies between write and read is taken off. All other checks are as before.

Tests with hand-written records: each excuse, and for each a stop of another worker, a later stop, a read too long after the stop, a shorter halt, and a halt before or after, which stay reported.

--- a/rig/soak/checker.cpp
+++ b/rig/soak/checker.cpp
@@ -19,6 +19,8 @@
 
 // Allowance for delays between processes on a busy machine.
 constexpr Nanos kNetworkDelay = 30 * kMs;
+// How long a router may hold back an event of a stream.
+constexpr Nanos kMaxEventDelay = 300 * kMs;
 // How long links that have recovered take to deliver what was buffered.
 constexpr Nanos kLinkBacklogTime = 300 * kMs;
 // How long a proxy may delay what a worker wrote: it delays responses until 200 ms after the start of the
@@ -92,6 +94,7 @@
     if (event == "stopped")
       suspensions_[line.at("process")].push_back({at, at + line.at("for").get<Nanos>()});
     if (event == "killed") kills_[line.at("process")].push_back(at);
+    if (event == "soak_held_up") soak_halts_.push_back({at - line.at("for").get<Nanos>(), at});
     if (event == "draining") drain_starts_[line.at("worker")] = at;
     if (event == "discovery_silent") discovery_outages_.push_back({at, kNoEnd});
     if (event == "discovery_up" && !discovery_outages_.empty()) discovery_outages_.back().to = at;
@@ -209,11 +212,32 @@
       const auto read = request.events_read.find(index);
       if (read == request.events_read.end() || suspended_around(request.router, written)) continue;
       if (may_be_held_back_by_link(worker, written)) continue;
-      if (read->second - written > 300 * kMs + kNetworkDelay)
-        add_breach(fmt::format("{}: event {} delayed for {} ms", id, index, (read->second - written) / kMs));
+      const Nanos latest_write = latest_write_of(worker, written);
+      const Nanos delay = read->second - latest_write - soak_halted_between(latest_write, read->second);
+      if (delay > kMaxEventDelay + kNetworkDelay)
+        add_breach(fmt::format("{}: event {} delayed for {} ms", id, index, delay / kMs));
     }
   }
 
+  // By when a worker that recorded an event has written it: a worker records an event before it writes it, and
+  // may be suspended in between.
+  Nanos latest_write_of(const std::string& worker, Nanos recorded) const {
+    const auto spans = suspensions_.find(worker);
+    if (spans == suspensions_.end()) return recorded;
+    Nanos latest = recorded;
+    for (const TimeSpan& span : spans->second)
+      if (recorded >= span.from - kNetworkDelay && recorded <= span.from + kNetworkDelay)
+        latest = std::max(latest, span.to);
+    return latest;
+  }
+  // For how long, within that time, the soak's own process with all clients was held up by the machine.
+  Nanos soak_halted_between(Nanos from, Nanos to) const {
+    Nanos halted = 0;
+    for (const TimeSpan& halt : soak_halts_)
+      halted += std::max<Nanos>(0, std::min(to, halt.to) - std::max(from, halt.from));
+    return halted;
+  }
+
   // Whether the router may have closed the new connection without reading it because idle clients used up
   // its descriptors.
   bool may_be_closed_unread(const Request& request) const {
@@ -358,6 +382,7 @@
   CheckResult result_;
   std::map<std::string, Request> requests_;
   std::map<std::string, std::vector<TimeSpan>> suspensions_;
+  std::vector<TimeSpan> soak_halts_;  // disjoint
   std::map<std::string, std::vector<Nanos>> kills_;
   // From SIGTERM to SIGKILL; kNoEnd where no SIGKILL was sent.
   std::map<std::string, std::vector<TimeSpan>> terminations_;
--- a/rig/soak/conductor.cpp
+++ b/rig/soak/conductor.cpp
@@ -32,6 +32,8 @@
 constexpr io::Nanos kReadyTimeout = 10 * kSecond;
 // SIGKILL follows SIGTERM after the longest deadline of any request and this time.
 constexpr io::Nanos kKillAfterDeadline = 700 * kMs;
+constexpr io::Nanos kHaltCheckInterval = 10 * kMs;
+constexpr io::Nanos kMinRecordedHalt = 20 * kMs;
 constexpr std::size_t kDiscoveryAgents = 2;
 constexpr int kClients = 24;
 constexpr int kLateConnections = 12;  // that clients open to a router after its SIGTERM
@@ -261,6 +263,7 @@
     while (!std::ranges::all_of(routers_, &Router::open)) co_await loop_.sleep_for(50 * kMs);
     clients_.start(kClients);
     scope_.spawn(monitor_routers());
+    scope_.spawn(record_own_halts());
     if (drawn_settings_.crowd) connect_idle_clients();
     const io::Nanos until = loop_.now() + options_.fault_duration;
     io::Scope faults(loop_);
@@ -288,6 +291,17 @@
     }
   }
 
+  // Records for how long this process, which plays all clients, was held up by the machine: its clients read
+  // nothing meanwhile.
+  io::Task<> record_own_halts() {
+    for (;;) {
+      const io::Nanos due = loop_.now() + kHaltCheckInterval;
+      co_await loop_.sleep_until(due);
+      const io::Nanos late = loop_.now() - due;
+      if (late >= kMinRecordedHalt) record_.record("soak_held_up", {{"for", late}});
+    }
+  }
+
   // Checks that each router runs and stays within its descriptor limit. Measures descriptors and memory.
   io::Task<> monitor_routers() {
     for (;;) {
--- a/tests/soak_checker_test.cpp
+++ b/tests/soak_checker_test.cpp
@@ -171,6 +171,39 @@
                        Lines{line(950, "event_read", {{"id", "a"}, {"index", 1}})}) == 0);
 }
 
+TEST_CASE(
+    "soak checker: an event counts from the end of a stop between the worker's record and its write, and "
+    "from "
+    "no other stop") {
+  const auto event = [](std::int64_t written, std::int64_t read) {
+    return Lines{line(written, "event", {{"id", "a"}, {"worker", "decode-1-0"}, {"index", 0}}),
+                 line(read, "event_read", {{"id", "a"}, {"index", 0}})};
+  };
+  const auto stopped = [](std::int64_t at, const char* process) {
+    return Lines{line(at, "stopped", {{"process", process}, {"for", 1333 * io::kMs}})};
+  };
+  const Lines request{sent(0), response(50)};
+  CHECK(count_breaches(request + stopped(110, "decode-1-0") + event(100, 1480)) == 0);
+  CHECK(count_breaches(request + stopped(90, "decode-1-0") + event(100, 1480)) == 0);
+  CHECK(count_breaches(request + stopped(110, "decode-1-0") + event(100, 1780)) == 1);
+  CHECK(count_breaches(request + stopped(140, "decode-1-0") + event(100, 1480)) == 1);
+  CHECK(count_breaches(request + stopped(110, "decode-2-0") + event(100, 1480)) == 1);
+}
+
+TEST_CASE("soak checker: time for which the soak's own process was held up does not count for an event") {
+  const Lines stream{sent(0), response(50),
+                     line(100, "event", {{"id", "a"}, {"worker", "decode-1-0"}, {"index", 0}}),
+                     line(600, "event_read", {{"id", "a"}, {"index", 0}})};
+  const auto held_up = [](std::int64_t until, int ms) {
+    return Lines{line(until, "soak_held_up", {{"for", ms * io::kMs}})};
+  };
+  CHECK(count_breaches(stream) == 1);
+  CHECK(count_breaches(stream + held_up(599, 393)) == 0);
+  CHECK(count_breaches(stream + held_up(599, 150)) == 1);
+  CHECK(count_breaches(stream + held_up(150, 393)) == 1);
+  CHECK(count_breaches(stream + held_up(1100, 393)) == 1);
+}
+
 TEST_CASE(
     "soak checker: a drain counts from 6 s after discovery could report it, even if discovery fails later") {
   const Line drain = line(1000, "draining", {{"worker", "decode-1-0"}});
