Log why a stream was ended: without progress for how long, or broken by what

The line names the worker, the attempt and the time without progress; "stream broke" is logged at info, with its worker.

--- a/router/host.cpp
+++ b/router/host.cpp
@@ -362,6 +362,10 @@
     if (loop_.now() - idle_since >= config_.stall_timeout) break;
     co_await loop_.sleep_until(idle_since + config_.stall_timeout);
   }
+  log_.info("stream made no progress", {{"sequence", request->info.id},
+                                        {"attempt", attempt_index},
+                                        {"worker", fleet_.at(attempt.worker).listed.name},
+                                        {"silent_ms", (loop_.now() - attempt.last_event_at) / io::kMs}});
   end_attempt(*request, attempt_index, Outcome::connection_lost);
 }
 
@@ -605,11 +609,12 @@
   const bool complete = (last_event_received || traits_.complete_without_last_event) &&
                         error == http::MessageError::none && !connection.reader->has_more();
   if (!complete)
-    log_.debug("stream broke", {{"sequence", request.info.id},
-                                {"attempt", attempt_index},
-                                {"begun", attempt.stream_started ? 1 : 0},
-                                {"last_event_came", last_event_received ? 1 : 0},
-                                {"fault", http::to_string(error)}});
+    log_.info("stream broke", {{"sequence", request.info.id},
+                               {"attempt", attempt_index},
+                               {"worker", fleet_.at(attempt.worker).listed.name},
+                               {"begun", attempt.stream_started ? 1 : 0},
+                               {"last_event_came", last_event_received ? 1 : 0},
+                               {"fault", http::to_string(error)}});
   end_attempt(request, attempt_index,
               complete && attempt.stream_started ? Outcome::generated : outcome_of_error(error),
               cached_tokens, report);
