--- a/rig/soak/conductor.cpp
+++ b/rig/soak/conductor.cpp
@@ -19,6 +19,7 @@
 #include "idle_crowd.h"
 #include "rig/process.h"
 #include "rig/shared_fault_plan.h"
+#include "rig/stand_in_settings.h"
 
 namespace cressrill::rig::soak {
 
@@ -53,19 +54,7 @@
 };
 
 json settings(int routers, const DrawnSettings& drawn) {
-  json out = json::parse(R"({"azs":["east","west"],"models":["prefill","decode"],"locality":0,
-    "granularityMs":2.0,"discovery":"automatic",
-    "caps":{"attemptsCap":6,"cancelling":true,"parallelTries":true,"retryAfter":true,"maxRetryAfterMs":400.0,
-            "connIdleMs":8000.0,"dialTimeoutMs":250.0},
-    "familyInfo":{"dutyByKind":["read","write"],"memoryTokens":[100000,100000],"pinLimitMs":1000.0,
-                  "aimUsPer1000PromptTokens":[40000.0,40000.0,40000.0],"reportX0":"share of memory that is held"},
-    "obligations":{"coldFrom":0.25,"rampTimeMs":4000.0,"fallMultiple":4.0,"fallMs":3000.0,
-                   "stopSendingWithinMs":500.0},
-    "services":[{"effect":"retryable","group":"all","goalTimeMs":1500.0,"worth":1.0,"name":"chat"},
-                {"effect":"dedup","group":"all","windowMs":1500.0,"goalTimeMs":1500.0,"worth":1.0,"name":"order"},
-                {"effect":"fragile","group":"all","goalTimeMs":1500.0,"worth":1.0,"name":"pay"}],
-    "stats":{"columns":["concurrent","x0"],"via":"inline"},
-    "tenants":[{"allowancePerS":1000.0,"name":"acme"}]})");
+  json out = stand_in_settings();
   out["instances"] = routers;
   out["familyInfo"]["pinLimitMs"] = drawn.pin_limit_ms;
   out["familyInfo"]["holdsAllowed"] = drawn.holds_allowed;
--- a/tests/platform_fixture.h
+++ b/tests/platform_fixture.h
@@ -36,6 +36,9 @@
   // With FakeWorker::silence_delays_responses: a prefill that is still running when the close of its
   // connection arrives leaves its KV cache behind all the same.
   bool leaves_kv_on_disconnect{};
+  // Raw bytes that follow `response` one after another, each `piece_interval` after the one before.
+  std::vector<std::string> pieces{};
+  io::Nanos piece_interval{};
 };
 
 // A worker that rejects its next 20 requests as overloaded, each after 30 ms.
@@ -259,6 +262,10 @@
       begin_response(id);
       co_await socket.write_all(scripted.response);
       if (after_response) after_response();
+      for (const std::string& piece : scripted.pieces) {
+        co_await loop_.sleep_for(scripted.piece_interval);
+        if (!(co_await socket.write_all(piece)).ok()) co_return;
+      }
       if (scripted.finish == ScriptedResponse::Finish::end_silently) {
         attempt.end();
         attempt.open_count.end();
