--- a/router/engine_wire.cpp
+++ b/router/engine_wire.cpp
@@ -94,7 +94,7 @@
     const std::string digits(pair.substr(equals + 1));
     char* end = nullptr;
     const double value = std::strtod(digits.c_str(), &end);
-    if (end == digits.c_str() || !(value >= 0)) continue;
+    if (end == digits.c_str() || !(value >= 0 && value <= kMaxReportedLoad)) continue;
     if (name == "kv_cache_usage_perc") report.memory_share = value;
     if (name == "num_requests_running") {
       running = value;
--- a/router/engine_wire.h
+++ b/router/engine_wire.h
@@ -10,6 +10,9 @@
 
 namespace cressrill::router {
 
+// Largest figure of a load report that is believed. A report with a larger one counts as none.
+constexpr double kMaxReportedLoad = 1e6;
+
 // The load that an engine reports in the response header 'endpoint-load-metrics', in ORCA's TEXT format.
 LoadReport parse_orca_load(const http::Head& head);
 
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -19,6 +19,8 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <limits>
+#include <optional>
 #include <tuple>
 #include <utility>
 
@@ -758,9 +760,10 @@
       worker_at(i).seconds_per_token = seconds_per_token(worker_at(i));
       worker_at(i).load_score = load_score(worker_at(i));
     }
-    const int least_loaded = pick_near_best(
+    const std::optional<int> least_loaded_choice = pick_near_best(
         usable, [&](int i) { return worker_at(i).load_score; },
         kTieShareOfPrefillTime * state_.mean_prefill_tokens * fleet_seconds_per_token);
+    const int least_loaded = least_loaded_choice.value_or(usable.front());
     const int home = home_worker(request);
     const auto cached_tokens_at = cached_tokens_by_worker(request, home);
     const double least_loaded_cached_tokens = cached_tokens_at(least_loaded);
@@ -778,7 +781,8 @@
         cache_choices_.empty()
             ? least_loaded
             : pick_near_best(cache_choices_, cache_advantage,
-                             kTieShareOfPrefillTime * request.prompt_tokens * fleet_seconds_per_token);
+                             kTieShareOfPrefillTime * request.prompt_tokens * fleet_seconds_per_token)
+                  .value_or(least_loaded);
     set_stage(request, Stage::prefilling);
     request.dequeued_at = now_;
     send(request, request.prefill_worker, true);
@@ -827,10 +831,10 @@
     return static_cast<double>(hash >> 11) / 9007199254740992.0;
   }
   // Picks at random among the workers whose score is within the margin of the best one, each with a weight of
-  // 1 / (queued requests + 1).
+  // 1 / (queued requests + 1). Returns nothing if there is no worker with a score.
   template <class Score>
-  int pick_near_best(const std::vector<int>& workers, Score score, double margin) {
-    double best_score = -1e18;
+  std::optional<int> pick_near_best(const std::vector<int>& workers, Score score, double margin) {
+    double best_score = -std::numeric_limits<double>::infinity();
     double total_weight = 0;
     for (const int i : workers) best_score = std::max(best_score, score(i));
     near_best_.clear();
@@ -840,6 +844,7 @@
     double remaining_weight = random() * total_weight;
     for (const auto& [worker_index, weight] : near_best_)
       if ((remaining_weight -= weight) <= 0) return worker_index;
+    if (near_best_.empty()) return std::nullopt;
     return near_best_.back().first;
   }
 
