Socket: wait for the peer's close, or for so much unread data that it may be stuck

A receive buffer that is full has no room for the end of the stream. The wait returns false once a given number of bytes is unread, so that its caller can read on.

--- a/io/socket.cpp
+++ b/io/socket.cpp
@@ -12,6 +12,7 @@
 #include <array>
 #include <cerrno>
 #include <charconv>
+#include <limits>
 #include <system_error>
 #include <utility>
 
@@ -244,6 +245,11 @@
   }
 }
 
+std::size_t Socket::unread_bytes() const {
+  int bytes = 0;
+  return ::ioctl(state_->fd, SIOCINQ, &bytes) == 0 ? static_cast<std::size_t>(bytes) : 0;
+}
+
 int Socket::unacknowledged_bytes() const {
   int bytes = 0;
   return ::ioctl(state_->fd, SIOCOUTQ, &bytes) == 0 ? bytes : 0;
@@ -315,25 +321,30 @@
 }
 
 Task<> Socket::wait_for_peer_close() {
+  co_await wait_for_peer_close_or_unread(std::numeric_limits<std::size_t>::max());
+}
+
+Task<bool> Socket::wait_for_peer_close_or_unread(std::size_t max_unread) {
   for (;;) {
-    if (!state_) co_return;
+    if (!state_) co_return true;
     if (!state_->descriptor.readable) {
       co_await ReadyWait(state_->descriptor, Side::read);
       continue;
     }
     const ssize_t peeked = peek();
     const int error = peeked < 0 ? errno : 0;
-    if (peeked == 0) co_return;
+    if (peeked == 0) co_return true;
     if (error != 0 && error != EAGAIN) {
-      if (state_->descriptor.hung_up) co_return;
-      if (!co_await should_retry(SystemCall::recv, error)) co_return;
+      if (state_->descriptor.hung_up) co_return true;
+      if (!co_await should_retry(SystemCall::recv, error)) co_return true;
       continue;
     }
     // With unread data, a peek does not see the end of the stream behind it; epoll has reported it
     // (EPOLLRDHUP).
-    if (peeked > 0 && state_->descriptor.hung_up) co_return;
+    if (peeked > 0 && state_->descriptor.hung_up) co_return true;
     state_->descriptor.readable = false;
     state_->descriptor.left_unread = peeked > 0;
+    if (peeked > 0 && unread_bytes() >= max_unread) co_return false;
   }
 }
 
--- a/io/socket.h
+++ b/io/socket.h
@@ -64,6 +64,9 @@
   void set_write_stall_timeout(Nanos timeout);
   // Waits until the peer closes or breaks the connection. Data that it sends meanwhile stays unread.
   Task<> wait_for_peer_close();
+  // The same, but returns false once max_unread bytes or more are unread: the receive buffer may then have no
+  // room for the end of the stream.
+  Task<bool> wait_for_peer_close_or_unread(std::size_t max_unread);
   // Whether the peer has closed or broken the connection, as of the last epoll event.
   bool peer_closed() const;
   // The pending read, or else the next one, returns ECANCELED. The socket stays open and usable.
@@ -102,6 +105,8 @@
   Task<bool> wait_writable();
   // Whether to retry a failed call. Suspends first for the retry delay, if the error asks for one.
   Task<bool> should_retry(SystemCall call, int error);
+  // Bytes received that have not been read (SIOCINQ), or 0 if that is not known.
+  std::size_t unread_bytes() const;
   // Bytes written that the peer has not acknowledged (SIOCOUTQ), or 0 if that is not known.
   int unacknowledged_bytes() const;
   // Result of recv(2) with MSG_PEEK for one byte.
