--- a/core/counters.h
+++ b/core/counters.h
@@ -82,6 +82,13 @@
       return connection_ends_.Add({{"reason", std::string(reason)}});
     }).Increment();
   }
+  // A peer whose memory was needed for others. kind: as returned by to_string(memory::PeerKind).
+  void count_shed(std::string_view kind) { shed_.Add({{"kind", std::string(kind)}}).Increment(); }
+  void set_memory_held(std::string_view kind, std::size_t bytes) {
+    find_or_add(memory_gauges_, kind, {}, [&]() -> prometheus::Gauge& {
+      return memory_held_.Add({{"kind", std::string(kind)}});
+    }).Set(static_cast<double>(bytes));
+  }
   void set_active_requests(std::size_t requests) { active_requests_.Set(static_cast<double>(requests)); }
   void count_release_requested() { releases_requested_.Increment(); }
   void count_release_confirmed() { releases_confirmed_.Increment(); }
@@ -120,12 +127,17 @@
   prometheus::Family<prometheus::Counter>& connection_ends_ =
       family(prometheus::BuildCounter(), "cressrill_connections_ended_total",
              "clients' connections that were ended");
+  prometheus::Family<prometheus::Counter>& shed_ =
+      family(prometheus::BuildCounter(), "cressrill_peers_shed_total", "peers ended to free their memory");
+  prometheus::Family<prometheus::Gauge>& memory_held_ =
+      family(prometheus::BuildGauge(), "cressrill_memory_held_bytes", "memory that peers hold");
   std::vector<LabeledMetric<prometheus::Counter>> answer_counters_;
   std::vector<LabeledMetric<prometheus::Counter>> attempt_counters_;
   std::vector<LabeledMetric<prometheus::Counter>> violation_counters_;
   std::vector<LabeledMetric<prometheus::Counter>> not_started_counters_;
   std::vector<LabeledMetric<prometheus::Counter>> connection_end_counters_;
   std::vector<LabeledMetric<prometheus::Histogram>> first_token_histograms_;
+  std::vector<LabeledMetric<prometheus::Gauge>> memory_gauges_;
 };
 
 }  // namespace cressrill::core
--- a/core/router_config.cpp
+++ b/core/router_config.cpp
@@ -110,6 +110,7 @@
   config.dial_timeout = table.duration("dial_timeout_ms", 1, 60'000, 250);
   config.idle_timeout = table.duration("idle_ms", 1, kHourMs, 15'000);
   config.stall_timeout = table.duration("stall_ms", 100, kHourMs, 30'000);
+  config.write_stall_timeout = config.stall_timeout;
   config.max_connections_per_engine =
       static_cast<std::size_t>(table.number("engine_connections", 1, 1e6, 1024));
   table.report_unknown_keys();
--- a/core/router_config.h
+++ b/core/router_config.h
@@ -45,8 +45,12 @@
   std::size_t max_connections_per_engine{};  // to each engine
   std::size_t max_engine_connections{};      // to all engines together; 0: unlimited
   Nanos stall_timeout{};                     // after which a stream without progress counts as broken
-  Nanos drain_grace{};                       // how long a draining worker may still be sent requests
-  Nanos shutdown_timeout{};                  // for requests in progress at SIGTERM
+  Nanos write_stall_timeout{};               // after which a client that accepts no byte is disconnected
+  std::size_t max_response_bytes = 8 * 1024 * 1024;  // of an engine's response that is no stream
+  std::size_t max_chunk_bytes = 8 * 1024 * 1024;     // of one chunk of an engine's response
+  std::size_t memory_bytes{};                        // of the process; 0: no limit
+  Nanos drain_grace{};                               // how long a draining worker may still be sent requests
+  Nanos shutdown_timeout{};                          // for requests in progress at SIGTERM
   std::vector<std::string> zones;
   std::vector<std::string> kind_names;
   ConfigErrors unused_kind_errors;          // one per kind, reported if a list has no worker of that kind
--- a/http/client.cpp
+++ b/http/client.cpp
@@ -205,7 +205,8 @@
   }
   at_capacity = false;
   count_guard.pool = nullptr;
-  connection->reader = std::make_unique<MessageReader>(connection->socket, MessageKind::response);
+  connection->reader =
+      std::make_unique<MessageReader>(connection->socket, MessageKind::response, limits_.messages);
   release_started(*connection);
   co_return connection;
 }
@@ -231,6 +232,7 @@
     closed();
     return;
   }
+  connection->reader->shrink();
   idle_.push_back({std::move(connection), loop_.now()});
   available_.notify();
   if (!closing_expired_) {
--- a/http/client.h
+++ b/http/client.h
@@ -89,6 +89,7 @@
   // faulty peer that arrives meanwhile is not taken for the response to the next request.
   io::Nanos min_idle_before_reuse{};
   std::size_t reserved_for_releases{};  // part of max_open that ordinary work never uses
+  MessageLimits messages{};             // of responses
 };
 
 // Connections to one peer. A connection that was acquired has to be passed to return_connection() or
--- a/http/message.cpp
+++ b/http/message.cpp
@@ -20,6 +20,12 @@
   return std::nullopt;
 }
 
+std::size_t Head::memory_bytes() const {
+  std::size_t bytes = text_.capacity() + fields.capacity() * sizeof fields.front();
+  for (const auto& text : earlier_text_) bytes += text.capacity();
+  return bytes;
+}
+
 void Head::clear() {
   method = {};
   target = {};
@@ -78,7 +84,8 @@
   using Base = beast_http::basic_parser<request>;
 
  public:
-  Parser(MessageLimits limits, ParserOutput& output) : output_(output) {
+  Parser(MessageLimits limits, ParserOutput& output)
+      : output_(output), max_fields_(limits.fields), max_chunk_bytes_(limits.chunk_bytes) {
     this->header_limit(static_cast<std::uint32_t>(limits.head_bytes));
     // A streamed response may have any length; read_some_body() limits bodies that are kept.
     if constexpr (request)
@@ -114,6 +121,8 @@
                      ErrorCode& error) override {
     if (output_.head == nullptr) return;  // a trailer field: ignored
     Head& head = *output_.head;
+    if (head.fields.size() >= max_fields_) error = beast_http::error::header_limit;
+    if (error) return;
     const std::string_view key = head.store(to_std_view(name), true);
     // RFC 9112, 6.3: conflicting message lengths may be an attempt at request smuggling.
     if (key == "content-length" && (head.field(key) || head.field("transfer-encoding")))
@@ -128,7 +137,10 @@
     output_.pieces.push_back(to_std_view(data));
     return data.size();
   }
-  void on_chunk_header_impl(std::uint64_t, beast::string_view, ErrorCode&) override {}
+  // The size is judged as its line is read: a peer may go on for long in a chunk that no body can hold.
+  void on_chunk_header_impl(std::uint64_t size, beast::string_view, ErrorCode& error) override {
+    if (!request && size > max_chunk_bytes_) error = beast_http::error::bad_chunk;
+  }
   std::size_t on_chunk_body_impl(std::uint64_t, beast::string_view data, ErrorCode&) override {
     output_.pieces.push_back(to_std_view(data));
     return data.size();
@@ -136,6 +148,8 @@
   void on_finish_impl(ErrorCode&) override {}
 
   ParserOutput& output_;
+  std::size_t max_fields_;
+  std::uint64_t max_chunk_bytes_;
 };
 
 MessageError to_message_error(const ErrorCode& error) {
@@ -156,7 +170,9 @@
 
 // Buffers start small, as many streams are idle most of the time, and grow while reads fill them.
 constexpr std::size_t kInitialBufferBytes = 4 * 1024;
-constexpr std::size_t kMaxBufferBytes = 64 * 1024;
+constexpr std::size_t kMaxBufferBytes = 16 * 1024;
+constexpr std::size_t kFirstBodyBytes = 16 * 1024;  // reserved before that much has come, if it is announced
+constexpr std::size_t kMaxPiecesPerRead = 64;       // of a body: each takes memory beside its bytes
 
 // The receive buffer, and the parser of the current message.
 struct MessageReader::State {
@@ -177,7 +193,31 @@
   bool last_read_filled{};  // the last read filled the buffer
   io::Nanos received_at{};
   bool kernel_time_read{true};  // received_at is what the kernel reports for the last read
-
+  io::Loop* loop{};
+  memory::Account* account{};  // null: growth is not limited
+  memory::Charge charge;       // of the buffer and of the head that is being read
+
+  // Waits until the account may grow by that many bytes; returns false if it must not.
+  io::Task<bool> wait_for_growth(std::size_t bytes) {
+    for (;;) {
+      switch (account->request_growth(bytes, loop->now())) {
+        case memory::Account::Admission::granted:
+          co_return true;
+        case memory::Account::Admission::refused:
+          co_return false;
+        case memory::Account::Admission::wait:
+          co_await loop->yield();
+      }
+    }
+  }
+  bool may_grow_now(std::size_t bytes) {
+    return account == nullptr ||
+           account->request_growth(bytes, loop->now()) == memory::Account::Admission::granted;
+  }
+  void update_charge() {
+    if (account != nullptr)
+      charge.resize(capacity + (output.head == nullptr ? 0 : output.head->memory_bytes()));
+  }
   // Starts to read the next message into head, which is emptied. head may be null.
   void start_message(Head* head) {
     if (head != nullptr) head->clear();
@@ -191,7 +231,7 @@
   }
   // Passes the bytes that are buffered and not consumed to the parser.
   void parse(ErrorCode& error) {
-    while (consumed < size && !parser->done()) {
+    while (consumed < size && !parser->done() && output.pieces.size() < kMaxPiecesPerRead) {
       const std::size_t parsed = parser->put(buffer.get() + consumed, size - consumed, error);
       consumed += parsed;
       if (error == beast_http::error::need_more) {
@@ -223,7 +263,15 @@
       size -= consumed;
       consumed = 0;
     }
-    if (size == capacity) grow(std::max(kInitialBufferBytes, capacity * 2));
+    if (size == capacity) {
+      const std::size_t wanted = std::max(kInitialBufferBytes, capacity * 2);
+      if (!may_grow_now(wanted)) {
+        const bool granted = co_await wait_for_growth(wanted);
+        if (!granted) co_return MessageError::no_capacity;
+      }
+      grow(wanted);
+    }
+    update_charge();
     const io::IoResult result = co_await socket.read_some(std::span(buffer.get() + size, capacity - size));
     if (!result.ok()) co_return MessageError::closed;
     if (result.bytes > 0) {
@@ -231,6 +279,7 @@
       received_at = socket.last_readable_at();
       kernel_time_read = false;
       last_read_filled = size == capacity;
+      if (account != nullptr) account->record_progress(loop->now());
       co_return MessageError::none;
     }
     if (!parser->started()) co_return MessageError::closed;
@@ -244,18 +293,51 @@
     : state_(new State(socket, kind, limits)) {
   state_->start_message(nullptr);
 }
+void MessageReader::set_account(io::Loop& loop, memory::Account& account) {
+  state_->loop = &loop;
+  state_->account = &account;
+  state_->charge = memory::Charge(account);
+}
+
+io::Task<bool> MessageReader::read_ahead() {
+  State& state = *state_;
+  const std::size_t wanted = std::max(kMaxBufferBytes, 2 * state.capacity);
+  if (state.size == state.capacity) {
+    if (!state.may_grow_now(wanted)) {
+      const bool granted = co_await state.wait_for_growth(wanted);
+      if (!granted) co_return false;
+    }
+    state.grow(wanted);
+    state.update_charge();
+  }
+  const io::IoResult result = co_await state.socket.read_some(
+      std::span(state.buffer.get() + state.size, state.capacity - state.size));
+  if (!result.ok() || result.bytes == 0) co_return false;
+  state.size += result.bytes;
+  state.received_at = state.socket.last_readable_at();
+  state.kernel_time_read = false;
+  co_return true;
+}
+
+std::size_t MessageReader::unparsed_bytes() const { return state_->size - state_->consumed; }
+
+void MessageReader::shrink() {
+  State& state = *state_;
+  if (state.consumed < state.size || state.capacity <= kInitialBufferBytes) return;
+  state.buffer.reset();
+  state.capacity = 0;
+  state.consumed = 0;
+  state.size = 0;
+  state.update_charge();
+}
+
 MessageReader::~MessageReader() = default;
 MessageReader::MessageReader(MessageReader&&) noexcept = default;
 
 io::Task<MessageError> MessageReader::read_head(Head& out) {
   State& state = *state_;
   state.start_message(&out);
-  if (state.consumed == state.size && state.capacity > kInitialBufferBytes) {
-    state.buffer.reset();
-    state.capacity = 0;
-    state.consumed = 0;
-    state.size = 0;
-  }
+  shrink();
   for (;;) {
     ErrorCode parse_error;
     // Beast parses the start line and each field as soon as they are complete, so text stored from earlier
@@ -291,6 +373,7 @@
     }
     if (parse_error) co_return to_message_error(parse_error);
     if (state.pieces_returned || state.parser->done()) co_return MessageError::none;
+    state.update_charge();
     // The parser consumes data at once, but a line of the framing only once it is complete.
     if (state.size - state.consumed > state.limits.framing_bytes) co_return MessageError::framing_too_large;
     const MessageError error = co_await state.receive();
@@ -298,25 +381,33 @@
   }
 }
 
-io::Task<MessageError> MessageReader::read_some_body(std::string& out) {
+io::Task<MessageError> MessageReader::read_some_body(std::string& out, memory::Charge* charge) {
+  const std::size_t length = state_->parser->length();
+  if (length > state_->limits.body_bytes) co_return MessageError::body_too_large;
   std::span<const std::string_view> pieces;
   const MessageError error = co_await read_body_pieces(pieces);
   for (const std::string_view piece : pieces) {
-    if (out.size() + piece.size() > state_->limits.body_bytes) co_return MessageError::body_too_large;
-    // Reserves the announced length, but at most kMaxBufferBytes before any data has been received: a peer
-    // may announce more than it sends.
-    if (out.size() + piece.size() > out.capacity())
-      out.reserve(std::max(out.capacity() * 2,
-                           std::min(state_->parser->length(), out.empty() ? kMaxBufferBytes : SIZE_MAX)) +
-                  piece.size() + kReadPaddingBytes);
+    const std::size_t size = out.size() + piece.size();
+    if (size > state_->limits.body_bytes) co_return MessageError::body_too_large;
+    if (size + kReadPaddingBytes > out.capacity()) {
+      // The announced length, but at most twice what has come: a peer may announce more than it sends.
+      const std::size_t doubled = std::max(2 * size, length > 0 ? kFirstBodyBytes : 0);
+      const std::size_t wanted = (length >= size ? std::min(length, doubled) : doubled) + kReadPaddingBytes;
+      if (!state_->may_grow_now(wanted)) {
+        const bool granted = co_await state_->wait_for_growth(wanted);
+        if (!granted) co_return MessageError::no_capacity;
+      }
+      out.reserve(wanted);
+      if (charge != nullptr) charge->resize(out.capacity());
+    }
     out.append(piece);
   }
   co_return error;
 }
 
-io::Task<MessageError> MessageReader::read_body(std::string& out) {
+io::Task<MessageError> MessageReader::read_body(std::string& out, memory::Charge* charge) {
   while (has_more()) {
-    const MessageError error = co_await read_some_body(out);
+    const MessageError error = co_await read_some_body(out, charge);
     if (error != MessageError::none) co_return error;
   }
   out.reserve(out.size() + kReadPaddingBytes);
@@ -392,6 +483,18 @@
   pending_ = buffer_.append(bytes);
 }
 
+std::size_t SseParser::pending_event_bytes() const {
+  std::size_t bytes = 0;
+  for (std::string_view rest = pending_; !rest.empty();) {
+    const std::size_t end = std::min(rest.find('\n'), rest.size() - 1) + 1;
+    const bool belongs_to_event =
+        !rest.starts_with(':') && !rest.starts_with('\r') && !rest.starts_with('\n');
+    if (belongs_to_event) bytes += end;
+    rest.remove_prefix(end);
+  }
+  return bytes;
+}
+
 std::optional<std::string_view> SseParser::next() {
   std::string_view data;
   int data_lines = 0;
--- a/http/message.h
+++ b/http/message.h
@@ -11,16 +11,20 @@
 #include <vector>
 
 #include "io/socket.h"
+#include "memory/budget.h"
 
 namespace cressrill::http {
 
 // Limits on messages that are read. body_bytes applies to requests, and to response bodies that are read into
-// one string. framing_bytes applies to what surrounds the data of a chunked body: the size line of a chunk
-// with its extensions, and the trailer section.
+// one string. chunk_bytes applies to the size that a chunk of a response states, whether or not its data
+// come. framing_bytes applies to what surrounds the data of a chunked body: the size line of a chunk with its
+// extensions, and the trailer section.
 struct MessageLimits {
   std::size_t head_bytes = 64 * 1024;
   std::size_t body_bytes = 8 * 1024 * 1024;
   std::size_t framing_bytes = 16 * 1024;
+  std::size_t chunk_bytes = 8 * 1024 * 1024;
+  std::size_t fields = 128;
 };
 
 // Bytes past the end of received data that are always readable, as simdjson needs (SIMDJSON_PADDING).
@@ -38,6 +42,8 @@
   Head(Head&&) noexcept = default;
   Head& operator=(Head&&) noexcept = default;
 
+  // Size of the buffers that hold it.
+  std::size_t memory_bytes() const;
   // Value of the first field with that name (in lower case), if any.
   std::optional<std::string_view> field(std::string_view name) const;
   // Makes the head empty and keeps its capacity.
@@ -57,11 +63,12 @@
   none,
   closed,             // the peer closed or broke the connection before the end of the message
   malformed,          // not HTTP, or ambiguous framing (RFC 9112, section 6.3)
-  head_too_large,     // exceeds MessageLimits::head_bytes
+  head_too_large,     // exceeds MessageLimits::head_bytes or fields
   body_too_large,     // exceeds MessageLimits::body_bytes
   framing_too_large,  // exceeds MessageLimits::framing_bytes
   timed_out,          // the rest of a partly received request did not arrive in time
-  no_capacity,        // a partly received request was abandoned because the server is at its connection limit
+  no_capacity,        // a partly received request was abandoned, as the server is at its limit of connections
+                      // or memory
 };
 // The error in words, for error bodies.
 const char* to_string(MessageError error);
@@ -76,6 +83,16 @@
   ~MessageReader();
   MessageReader(MessageReader&&) noexcept;
 
+  // Charges the buffers to an account from now on: reading waits for the account's growth, and ends with
+  // no_capacity if it is refused. Both arguments must outlive the reader.
+  void set_account(io::Loop& loop, memory::Account& account);
+  // Reads what the peer has sent beyond the message that was read last. Returns false if the peer has closed
+  // the connection, or if the account may not grow.
+  io::Task<bool> read_ahead();
+  // Number of bytes that were received and not parsed yet.
+  std::size_t unparsed_bytes() const;
+  // Frees the buffer if it is large and empty.
+  void shrink();
   // Reads the head of the next message. Interim responses (1xx) are skipped: their request is not answered
   // until the final response has been read, however many there are.
   io::Task<MessageError> read_head(Head& out);
@@ -83,9 +100,10 @@
   // followed by kReadPaddingBytes readable bytes. The total size is not limited here.
   io::Task<MessageError> read_body_pieces(std::span<const std::string_view>& out);
   // Waits for body data and appends it; body_too_large once the body exceeds its limit.
-  io::Task<MessageError> read_some_body(std::string& out);
+  // charge: of `out`, if the reader has an account.
+  io::Task<MessageError> read_some_body(std::string& out, memory::Charge* charge = nullptr);
   // Reads the rest of the body, and leaves capacity for kReadPaddingBytes more.
-  io::Task<MessageError> read_body(std::string& out);
+  io::Task<MessageError> read_body(std::string& out, memory::Charge* charge = nullptr);
   // Whether the current message has a body, or a rest of it, that was not returned yet.
   bool has_more() const;
   // Whether bytes past the end of the current message have been received.
@@ -139,6 +157,10 @@
   std::string_view last_comment() const { return last_comment_; }
   // Size of the incomplete event at the end of the input.
   std::size_t pending_bytes() const { return pending_.size(); }
+  // The same without comment lines, which belong to no event.
+  std::size_t pending_event_bytes() const;
+  // Size of the buffers.
+  std::size_t memory_bytes() const { return buffer_.capacity() + joined_data_.capacity(); }
 
  private:
   // Whether pending_ points into buffer_.
--- a/http/server.cpp
+++ b/http/server.cpp
@@ -12,6 +12,13 @@
 constexpr io::Nanos kTimeoutCheckInterval = 100 * io::kMs;
 // Time for a client to close its connection after the server has closed its sending side.
 constexpr io::Nanos kLingerTime = io::kSecond;
+// While a request is served, further data of its client are left to the kernel up to the first limit, as long
+// as its receive buffer surely has room for the end of the connection. Beyond it they are read, up to the
+// second limit.
+constexpr std::size_t kMaxUnreadBytes = 24 * 1024;
+constexpr std::size_t kMaxReadAheadBytes = 1024 * 1024;
+// What a connection takes beside its buffers: its coroutines, its parser, its registration.
+constexpr std::size_t kConnectionBytes = 3 * 1024;
 
 // Status of the response to a request that could not be read.
 int status_for(MessageError error) {
@@ -36,6 +43,15 @@
   return names[static_cast<int>(end)];
 }
 
+io::Task<bool> ResponseWriter::wait_for_client_close() {
+  return socket_.wait_for_peer_close_or_unread(kMaxUnreadBytes);
+}
+
+io::Task<bool> ResponseWriter::read_ahead() {
+  if (reader_ == nullptr || reader_->unparsed_bytes() >= kMaxReadAheadBytes) co_return false;
+  co_return co_await reader_->read_ahead();
+}
+
 bool ResponseWriter::check_write(const io::IoResult& result) {
   if (result.ok()) return true;
   write_failed_ = true;
@@ -182,6 +198,15 @@
   end_idle(idle, action);
 }
 
+// Ends a connection whose account was shed: one with a part of a request gets an error, any other one is
+// closed.
+void Server::shed(const io::Socket& socket) {
+  for (IdleConnection& idle : idle_connections_) {
+    if (&idle.socket != &socket) continue;
+    return end_idle(idle, idle.has_partial_request() ? IdleAction::reject_no_capacity : IdleAction::close);
+  }
+}
+
 void Server::throttle_accept(io::Nanos interval) {
   accept_interval_ = interval;
   listener_.set_backlog(interval > 0 ? 0 : 1024);  // 1024: the default of io::Listener
@@ -241,7 +266,7 @@
     co_await io::with_deadline(loop_, deadline, wait_for_client_close(socket));
     co_return;
   }
-  std::array<char, 16 * 1024> buffer;
+  std::array<char, 2 * 1024> buffer;
   for (;;) {
     const auto result = co_await io::with_deadline(loop_, deadline, socket.read_some(buffer));
     if (!result || !result->ok() || result->bytes == 0) break;
@@ -255,7 +280,9 @@
 
 // Reads the next request of a connection, or returns why there is none.
 io::Task<MessageError> Server::read_request(Session& session, Request& request) {
-  request.body.clear();
+  std::string().swap(request.body);
+  request.body_charge.resize(0);
+  session.account.set_sheddable(memory::Sheddable::first);
   const bool is_first_request = session.request_count++ == 0;
   IdleConnection idle(*this, session.socket,
                       deadline_after(is_first_request ? timeouts_.first_request : timeouts_.idle),
@@ -266,7 +293,9 @@
   if (error == MessageError::none && request.head.field("expect") == "100-continue" &&
       session.reader.has_more())
     co_await session.socket.write_all("HTTP/1.1 100 Continue\r\n\r\n");
-  if (error == MessageError::none) error = co_await session.reader.read_body(request.body);
+  if (error == MessageError::none)
+    error = co_await session.reader.read_body(request.body, &request.body_charge);
+  session.account.set_sheddable(memory::Sheddable::never);
   session.ended_by_server = idle.action == IdleAction::end_gracefully;
   if (idle.action == IdleAction::reject_timed_out) co_return MessageError::timed_out;
   if (idle.action == IdleAction::reject_no_capacity) co_return MessageError::no_capacity;
@@ -306,6 +335,7 @@
 io::Task<ConnectionEnd> Server::serve_requests(Session& session) {
   io::Socket& socket = session.socket;
   Request request;
+  request.body_charge = memory::Charge(session.account);
   while (socket.is_open()) {
     const MessageError error = co_await read_request(session, request);
     if (session.ended_by_server) {
@@ -316,6 +346,9 @@
     if (error == MessageError::closed)
       co_return socket.is_open() ? ConnectionEnd::by_client : ConnectionEnd::idle;
     if (error != MessageError::none) {
+      std::string().swap(request.body);
+      request.body_charge.resize(0);
+      session.reader.shrink();
       co_await reject(socket, error, session.evicted);
       co_return ConnectionEnd::refused;
     }
@@ -323,7 +356,7 @@
     // When draining, requests that are already in the buffer are still served: their client would not send
     // them again.
     const auto is_last = [&] { return draining_ && !session.reader.has_leftover(); };
-    ResponseWriter response(socket, request.head.keep_alive && !is_last());
+    ResponseWriter response(socket, request.head.keep_alive && !is_last(), &session.reader);
     const HandlerOutcome outcome = co_await handle(request, response);
     if (outcome == HandlerOutcome::no_response) co_return ConnectionEnd::unanswered;
     if (outcome == HandlerOutcome::client_left || response.write_failed()) co_return ConnectionEnd::by_client;
@@ -332,6 +365,9 @@
       if (session.reader.has_leftover()) co_await loop_.yield();
       continue;
     }
+    // A request that was read behind a truncated stream gets no response. A reset tells its client so, as for
+    // one that was not read.
+    if (response.truncated() && session.reader.has_leftover()) socket.close(true);
     co_await close_gracefully(socket, session.evicted, DataUntilClose::keep_unread);
     co_return ConnectionEnd::after_answer;
   }
@@ -339,7 +375,11 @@
 }
 
 io::Task<> Server::run_session(io::Socket socket) {
-  Session session{socket, MessageReader(socket, MessageKind::request, limits_)};
+  memory::Account account(budget_, memory::PeerKind::client_connection, loop_.now(), [&] { shed(socket); });
+  memory::Charge connection_charge(account);
+  connection_charge.resize(kConnectionBytes);
+  Session session{socket, account, MessageReader(socket, MessageKind::request, limits_)};
+  if (budget_ != nullptr) session.reader.set_account(loop_, account);
   const ConnectionEnd end = co_await serve_requests(session);
   if (observe_end_) observe_end_(end);
   socket.close();
--- a/http/server.h
+++ b/http/server.h
@@ -11,8 +11,9 @@
 // A request with its complete body.
 struct Request {
   Head head;
-  std::string body;         // with capacity for kReadPaddingBytes more
-  io::Nanos received_at{};  // when the kernel received its last byte
+  std::string body;            // with capacity for kReadPaddingBytes more
+  memory::Charge body_charge;  // of the body, to the account of its connection
+  io::Nanos received_at{};     // when the kernel received its last byte
 };
 
 // Writes the response to one request. A handler calls either respond() once, or one of the begin_stream
@@ -20,7 +21,9 @@
 // write succeeded.
 class ResponseWriter {
  public:
-  ResponseWriter(io::Socket& socket, bool keep_alive) : socket_(socket), keep_alive_(keep_alive) {}
+  // reader: of the connection's requests; null: nothing is read while the response is written.
+  ResponseWriter(io::Socket& socket, bool keep_alive, MessageReader* reader = nullptr)
+      : socket_(socket), reader_(reader), keep_alive_(keep_alive) {}
   // Writes a complete response. fields: header lines, each "name: value\r\n".
   io::Task<bool> respond(int status, std::string_view fields, std::string_view body);
   // Writes the head of a chunked response.
@@ -35,7 +38,12 @@
     keep_alive_ = false;
     socket_.close(true);
   }
-  io::Task<> wait_for_client_close() { return socket_.wait_for_peer_close(); }
+  // Waits until the client has closed its connection. Returns false once it has sent so much that the close
+  // may be stuck behind it; then read_ahead() makes room.
+  io::Task<bool> wait_for_client_close();
+  // Reads what the client has sent behind the request that is served. Returns false if the client has closed
+  // its connection, or has sent more than is kept.
+  io::Task<bool> read_ahead();
   io::Socket& socket() { return socket_; }
   // Whether the handler has begun a response.
   bool started() const { return started_; }
@@ -43,18 +51,25 @@
   // Whether a write failed because the client accepted no data for the write stall timeout.
   bool write_stalled() const { return write_stalled_; }
   bool keep_alive() const { return keep_alive_; }
-  // Closes the connection after what was written, which still reaches the client. A stream without
-  // end_stream() is truncated.
+  // Closes the connection after what was written, which still reaches the client.
   void close_after_response() { keep_alive_ = false; }
+  // Ends a stream that is not complete: closes the connection after what was written, without the last chunk.
+  void truncate() {
+    keep_alive_ = false;
+    truncated_ = true;
+  }
+  bool truncated() const { return truncated_; }
 
  private:
   bool check_write(const io::IoResult& result);
   io::Socket& socket_;
+  MessageReader* reader_;
   std::string deferred_head_;  // written with the first chunk
   bool keep_alive_;
   bool started_{};
   bool write_failed_{};
   bool write_stalled_{};
+  bool truncated_{};
 };
 
 // Limits on the time that a client may take, enforced at intervals of 100 ms; 0: no limit.
@@ -88,6 +103,9 @@
   Server(io::Loop& loop, io::Address address, Handler handler, MessageLimits limits = {},
          std::size_t max_connections = 20'000);
   const io::Address& address() const { return listener_.address(); }
+  // Charges what connections hold to a budget. Call it before the first connection; the budget must outlive
+  // the server.
+  void set_memory_budget(memory::Budget& budget) { budget_ = &budget; }
   void set_error_body_formatter(ErrorBodyFormatter formatter) { format_error_body_ = std::move(formatter); }
   void observe_connection_ends(ConnectionEndObserver observer) { observe_end_ = std::move(observer); }
   // Closes connections whose clients take longer. Call it once, before the first connection.
@@ -116,6 +134,7 @@
   // The state of one client connection.
   struct Session {
     io::Socket& socket;
+    memory::Account& account;
     MessageReader reader;
     std::size_t request_count{};  // including the one that is being read
     bool evicted{};               // closed to make room for another connection
@@ -141,7 +160,7 @@
     close,              // at once
     end_gracefully,     // with a FIN, so that data in flight does no harm
     reject_timed_out,   // a request was partly received: respond with MessageError::timed_out
-    reject_no_capacity  // the same with MessageError::no_capacity
+    reject_no_capacity  // the same with MessageError::no_capacity, at a limit of connections or memory
   };
 
   io::Loop& loop_;
@@ -150,6 +169,7 @@
   ConnectionEndObserver observe_end_;
   MessageLimits limits_;
   std::size_t max_connections_;
+  memory::Budget* budget_{};
   std::size_t open_connections_{};
   bool draining_{};
   bool draining_accept_queue_{};
@@ -169,6 +189,8 @@
       if (server.open_connections_ >= server.max_connections_) server.capacity_changed_.notify();
     }
     ~IdleConnection() { --server.idle_count_; }
+    IdleConnection(const IdleConnection&) = delete;
+    IdleConnection& operator=(const IdleConnection&) = delete;
     Server& server;
     io::Socket& socket;
     io::Nanos deadline;
@@ -195,6 +217,7 @@
   void end_idle_where(Decide decide);
   void end_idle(IdleConnection& idle, IdleAction action);
   void evict(IdleConnection& idle, IdleAction action);
+  void shed(const io::Socket& socket);
   Timeouts timeouts_;
   io::Nanos write_stall_timeout_{};
   std::size_t idle_count_{};
--- a/programs/memory.cpp
+++ b/programs/memory.cpp
@@ -20,11 +20,12 @@
   const double peak_mb = static_cast<double>(result.peak_kb) / 1024;
   const bool kept = peak_mb * 100 <= options.memory_mb * kMaxPercent && result.lost == 0 && result.exits == 0;
   const auto ms = [](io::Nanos time) { return time / io::kMs; };
-  std::cout << fmt::format(
-      "| {}{}{} | {} | {} | {} | {:.1f} | {} / {} / {} | {} / {} / {} | {} |\n", to_string(options.kind),
-      options.from_start ? ", from the first accept" : "", options.come_again ? ", again and again" : "",
-      options.memory_mb, options.descriptors, options.bad_peers, peak_mb, result.answered, result.refused,
-      result.lost, ms(result.median), ms(result.p99), ms(result.longest), kept ? "kept" : "BROKEN");
+  std::cout << fmt::format("| {}{}{} | {} | {} | {} | {:.1f} | {} / {} / {} | {} / {} / {} | {} | {} |\n",
+                           to_string(options.kind), options.from_start ? ", from the first accept" : "",
+                           options.come_again ? ", again and again" : "", options.memory_mb,
+                           options.descriptors, options.bad_peers, peak_mb, result.answered, result.refused,
+                           result.lost, ms(result.median), ms(result.p99), ms(result.longest), result.exits,
+                           kept ? "kept" : "BROKEN");
   std::cout.flush();
   return kept;
 }
@@ -56,7 +57,7 @@
     std::filesystem::create_directories(options.folder);
     options.duration = seconds * io::kSecond;
     std::cout << "| bad peers | limit MB | descriptors | peers | peak MB | usual: answered / refused / lost "
-                 "| ms: median / p99 / longest | |\n|---|---|---|---|---|---|---|---|\n";
+                 "| ms: median / p99 / longest | exits | |\n|---|---|---|---|---|---|---|---|---|\n";
     bool kept = true;
     for (const int limit : limits) {
       options.memory_mb = limit;
--- a/rig/memory_load.cpp
+++ b/rig/memory_load.cpp
@@ -244,6 +244,8 @@
       ++result_.refused;  // failed in time, after a spoilt response of a worker
     } else {
       ++result_.lost;
+      fmt::print(stderr, "u{}: {} after {} ms\n", number, status ? std::to_string(*status) : "no end",
+                 time / kMs);
     }
     --open_usual_;
   }
--- a/router/fleet.cpp
+++ b/router/fleet.cpp
@@ -74,9 +74,14 @@
   if (!entry.pool || entry.pool->peer() != *address) {
     entry.pool = std::make_shared<http::Pool>(
         loop_, *address,
-        http::PoolLimits{config_.dial_timeout, config_.idle_timeout, 256, config_.max_connections_per_engine,
-                         connection_budget_, config_.min_idle_before_reuse,
-                         reserved_per_worker(config_.max_connections_per_engine)});
+        http::PoolLimits{config_.dial_timeout,
+                         config_.idle_timeout,
+                         256,
+                         config_.max_connections_per_engine,
+                         connection_budget_,
+                         config_.min_idle_before_reuse,
+                         reserved_per_worker(config_.max_connections_per_engine),
+                         {.body_bytes = config_.max_response_bytes, .chunk_bytes = config_.max_chunk_bytes}});
   }
   entry.kind = kind;
   entry.zone = zone;
--- a/router/host.cpp
+++ b/router/host.cpp
@@ -7,7 +7,15 @@
 
 namespace {
 
-constexpr std::size_t kMaxOutboxBytes = 64 * 1024;  // buffered for one client before its stream is paused
+constexpr std::size_t kMaxOutboxBytes = 16 * 1024;      // buffered for one client before its stream is paused
+constexpr std::size_t kMaxKeptOutboxBytes = 32 * 1024;  // kept allocated once they were written
+// What a request takes beside its text and its response: its coroutines, its trace, the reader of its attempt.
+constexpr std::size_t kRequestBytes = 12 * 1024;
+// An event that comes in pieces is under way as long as none takes longer than this.
+constexpr io::Nanos kEventPieceTimeout = 2 * io::kSecond;
+// A final answer that is late by this much no longer waits for the policy, nor for any worker.
+constexpr io::Nanos kOverdueAfter = 100 * io::kMs;
+constexpr io::Nanos kOverdueCheckInterval = 100 * io::kMs;
 constexpr std::size_t kMaxBufferedResponseBytes = 8 * 1024 * 1024;
 
 // Names used in logs and metrics; some differ from the enumerators.
@@ -72,12 +80,14 @@
       input_queued_(loop),
       policy_(create_policy(config.settings, seed, loop.now(), *this)),
       wakeups_(loop),
-      input_task_(loop) {
+      input_task_(loop),
+      deadline_task_(loop) {
   input_task_.spawn(process_inputs());
 }
 
 Host::~Host() {
   input_task_.cancel();
+  deadline_task_.cancel();
   wakeups_.cancel();
   releaser_.cancel();
   for (const auto& request : requests_)
@@ -148,6 +158,7 @@
             return other->outstanding && other.get() != &attempt;
           })) {
         request.exchange().drop_body();
+        request.update_memory_charge();
       }
       policy_->stream_started(now, request.index, input.attempt_index, now - attempt.decided_at);
       if (request.client_left) end_attempt(request, input.attempt_index, Outcome::cancelled);
@@ -351,16 +362,18 @@
   if (!attempt.stream_started) end_attempt(*request, attempt_index, Outcome::timed_out);
 }
 
-// A started stream has no deadline, but counts as broken once it has had no event for the stall timeout, as
-// its worker hangs. Runs from the first event on. Time while reading is paused for a slow client does not
+// A started stream has no deadline, but counts as broken once it has made no progress for the stall timeout, as
+// its worker hangs (record_progress() says what progress is). Runs from the first event on. Time while reading is paused for a slow client does not
 // count, as it says nothing about the worker; a client that
 // accepts no data at all is disconnected by the server (http::Server::set_write_stall_timeout()).
 io::Task<> Host::enforce_stall_timeout(std::shared_ptr<ActiveRequest> request, int attempt_index) {
   const ActiveAttempt& attempt = *request->attempts[static_cast<std::size_t>(attempt_index)];
   for (;;) {
     const io::Nanos idle_since = attempt.paused_for_client ? loop_.now() : attempt.last_event_at;
-    if (loop_.now() - idle_since >= config_.stall_timeout) break;
-    co_await loop_.sleep_until(idle_since + config_.stall_timeout);
+    const io::Nanos due =
+        std::max(idle_since + config_.stall_timeout, attempt.event_grew_at + kEventPieceTimeout);
+    if (loop_.now() >= due) break;
+    co_await loop_.sleep_until(due);
   }
   log_.info("stream made no progress", {{"sequence", request->info.id},
                                         {"attempt", attempt_index},
@@ -557,8 +570,7 @@
     for (const std::string_view piece : pieces) {
       sse_parser.feed(piece);
       while (const auto data = sse_parser.next()) {
-        // Only a complete event counts as progress, so that a stream that stops within an event is stalled.
-        attempt.last_event_at = loop_.now();
+        record_progress(attempt, sse_parser, true);
         const StreamEvent event = request.exchange().interpret_event(*data, attempt.stream_started);
         if (!event.readable || request.exchange().buffered_bytes() > kMaxBufferedResponseBytes) {
           end_attempt(request, attempt_index, Outcome::error, 0, report);
@@ -594,6 +606,7 @@
         request.exchange().forward_event(*data, sse_parser.raw_event(), event, request.outbox);
         if (request.outbox.size() > size_before) request.updated.notify();
       }
+      record_progress(attempt, sse_parser, false);
       if (sse_parser.pending_bytes() > traits_.max_event_bytes) {
         end_attempt(request, attempt_index, Outcome::error, 0, report);
         co_return false;
@@ -604,6 +617,8 @@
       if (update.received) report = update;
     }
     if (error != http::MessageError::none) break;
+    request.update_memory_charge(sse_parser.memory_bytes());
+    request.account.request_growth(0, loop_.now());  // sheds other accounts if the budget is exceeded
     if (request.outbox.size() > kMaxOutboxBytes) co_await wait_for_client(request, attempt);
   }
   const bool complete = (last_event_received || traits_.complete_without_last_event) &&
@@ -621,6 +636,40 @@
   co_return complete;
 }
 
+// Progress of a stream is an event that is complete, or more bytes of an event under way, which only extend
+// the time while they go on coming: the client sees nothing of them. Comments, empty lines and what surrounds
+// chunks are no progress, and a chunk that no body can hold ends the stream before its data.
+void Host::record_progress(ActiveAttempt& attempt, const http::SseParser& parser, bool event_completed) {
+  const std::size_t under_way = event_completed ? 0 : parser.pending_event_bytes();
+  if (event_completed) attempt.last_event_at = loop_.now();
+  if (under_way > attempt.event_under_way) attempt.event_grew_at = loop_.now();
+  attempt.event_under_way = under_way;
+}
+
+void Host::ActiveRequest::update_memory_charge(std::size_t parser_bytes) {
+  memory_charge.resize(kRequestBytes + exchange().request_bytes() + outbox.capacity() + sending.capacity() +
+                       parser_bytes);
+}
+
+// Ends requests whose final answer is overdue. The policy answers in time by itself; this holds whatever write,
+// read or worker an attempt waits for.
+io::Task<> Host::enforce_final_answers() {
+  while (live_count_ > 0) {
+    co_await loop_.sleep_for(kOverdueCheckInterval);
+    for (const std::shared_ptr<ActiveRequest>& request : requests_)
+      if (request && loop_.now() >= request->deadline + kOverdueAfter) end_overdue(*request);
+  }
+}
+
+void Host::end_overdue(ActiveRequest& request) {
+  if (request.outcome != RequestOutcome::none || request.streaming_attempt >= 0 || request.client_left)
+    return;
+  log_.warn("answer overdue", {{"sequence", request.info.id}, {"attempts", request.attempts.size()}});
+  set_outcome(request, RequestOutcome::aborted);
+  for (std::size_t i = 0; i < request.attempts.size(); ++i)
+    if (request.attempts[i]->outstanding) end_attempt(request, static_cast<int>(i), Outcome::timed_out);
+}
+
 // Pauses reading until the client has taken enough of the buffered events.
 io::Task<> Host::wait_for_client(ActiveRequest& request, ActiveAttempt& attempt) {
   attempt.paused_for_client = true;
@@ -692,6 +741,7 @@
   auto& exchange = std::get<std::unique_ptr<Exchange>>(open_result);
   const std::shared_ptr<ActiveRequest> request =
       add_request(std::move(info), std::move(exchange), http_request.received_at);
+  http_request.body_charge.resize(http_request.body.capacity());  // the exchange has taken the body
   try {
     co_await serve_client(request, response);
   } catch (...) {
@@ -703,7 +753,10 @@
 std::shared_ptr<Host::ActiveRequest> Host::add_request(RequestInfo info, std::unique_ptr<Exchange> exchange,
                                                        io::Nanos arrived_at) {
   std::shared_ptr<KvLease> lease = releaser_.open_lease(info.id, std::move(exchange));
-  auto request = std::make_shared<ActiveRequest>(loop_, std::move(info), releaser_, std::move(lease));
+  auto request =
+      std::make_shared<ActiveRequest>(loop_, budget_, std::move(info), releaser_, std::move(lease));
+  request->account.set_peer(request->info.id);
+  request->update_memory_charge();
   if (free_indices_.empty()) {
     free_indices_.push_back(static_cast<int>(requests_.size()));
     requests_.emplace_back();
@@ -714,6 +767,7 @@
   request->deadline = request->arrived_at + request->info.time_limit;
   requests_[static_cast<std::size_t>(request->index)] = request;
   counters_.set_active_requests(++live_count_);
+  if (deadline_task_.empty()) deadline_task_.spawn(enforce_final_answers());
   add_trace_entry(*request, TraceStep::taken);
   enqueue({Input::Kind::arrived, request, 0, {}, 0, {}, {}});
   return request;
@@ -724,6 +778,7 @@
   ActiveRequest& request = *shared_request;
   io::Scope client_watch(loop_);
   client_watch.spawn(watch_client(shared_request, response));
+  request.account.set_shed_handler([&response] { response.abort(); });
   bool stream_started = false;
   for (;;) {
     if (response.write_failed()) handle_client_left(shared_request, response);
@@ -733,8 +788,12 @@
         response.begin_stream_deferred(200, protocol_.stream_fields());
       // Swapped rather than copied, so that both strings keep their capacity.
       std::swap(request.outbox, request.sending);
+      request.account.set_sheddable(memory::Sheddable::next);
       co_await response.write_chunk(request.sending);
+      request.account.set_sheddable(memory::Sheddable::never);
+      request.account.record_progress(loop_.now());
       request.sending.clear();
+      if (request.sending.capacity() > kMaxKeptOutboxBytes) std::string().swap(request.sending);
       request.outbox_drained.notify();
       continue;
     }
@@ -742,12 +801,18 @@
     co_await request.updated.wait();
   }
   client_watch.cancel();
+  request.account.set_shed_handler({});
   co_await send_final_response(request, response, stream_started);
 }
 
 // Detects that the client has left even while a write to it is blocked, so that its attempts are ended.
 io::Task<> Host::watch_client(std::shared_ptr<ActiveRequest> request, http::ResponseWriter& response) {
-  co_await response.wait_for_client_close();
+  for (;;) {
+    const bool closed = co_await response.wait_for_client_close();
+    if (closed) break;
+    const bool may_send_more = co_await response.read_ahead();
+    if (!may_send_more) break;
+  }
   handle_client_left(request, response);
 }
 
@@ -788,7 +853,7 @@
   }
   if (!stream_started) response.begin_stream_deferred(200, protocol_.stream_fields());
   if (final_response.truncate) {
-    response.close_after_response();
+    response.truncate();
     co_return;
   }
   if (final_response.close_after) response.close_after_response();
--- a/router/host.h
+++ b/router/host.h
@@ -49,6 +49,8 @@
   void expedite_releases() { releaser_.expedite(); }
   // Writes the traces of the active requests to the log, up to a limit.
   void log_traces();
+  // Charges what requests hold to a budget. Call it before the first request; the budget must outlive the host.
+  void set_memory_budget(memory::Budget& budget) { budget_ = &budget; }
   core::Invariants& invariants() { return invariants_; }
   const core::Invariants& invariants() const { return invariants_; }
   // The load of one worker as the policy expects it and as counted on connections. The two agree whenever the
@@ -85,20 +87,28 @@
     io::Nanos connection_idle_time{-1};  // idle time of its connection before use; negative: a new connection
     io::Nanos last_event_at{};           // when an event was last received, or reading resumed after a pause
     bool paused_for_client{};            // reading is paused until the client has taken the buffered events
+    std::size_t event_under_way{};       // bytes received of an event that is not complete
+    io::Nanos event_grew_at{};           // when bytes of it were last received
     io::Scope scope;
   };
   // State of one client request.
   struct ActiveRequest {
-    ActiveRequest(io::Loop& loop, RequestInfo request_info, KvReleaser& releaser,
+    ActiveRequest(io::Loop& loop, memory::Budget* budget, RequestInfo request_info, KvReleaser& releaser,
                   std::shared_ptr<KvLease> lease)
         : info(std::move(request_info)),
           kv_lease(releaser, std::move(lease)),
+          account(budget, memory::PeerKind::request, loop.now()),
+          memory_charge(account),
           updated(loop),
           outbox_drained(loop) {}
     int index{};
     RequestInfo info;
     KvLeaseHandle kv_lease;
     Exchange& exchange() { return *kv_lease->exchange; }
+    memory::Account account;
+    memory::Charge memory_charge;  // of all that the request holds
+    // Records what the request holds now; parser_bytes: in the parsers of its attempts.
+    void update_memory_charge(std::size_t parser_bytes = 0);
     io::Nanos arrived_at{};
     io::Nanos deadline{};
     io::Signal updated;         // wakes the client's coroutine
@@ -177,6 +187,9 @@
   io::Task<bool> relay_stream(ActiveRequest& request, int attempt_index, http::Connection& connection,
                               const LoadReport& report);
   io::Task<> wait_for_client(ActiveRequest& request, ActiveAttempt& attempt);
+  void record_progress(ActiveAttempt& attempt, const http::SseParser& parser, bool event_completed);
+  io::Task<> enforce_final_answers();
+  void end_overdue(ActiveRequest& request);
   void release_prefill(ActiveRequest& request, int attempt_index);
   void record_kv_event(ActiveRequest& request, HoldEvent event, int attempt_index = -1);
   void report_request_over(ActiveRequest& request);
@@ -201,8 +214,10 @@
   std::vector<Input> input_batch_;  // being delivered; swapped with the queue to reuse its capacity
   io::Signal input_queued_;
   std::unique_ptr<Policy> policy_;
+  memory::Budget* budget_{};
   io::Scope wakeups_;
   io::Scope input_task_;
+  io::Scope deadline_task_;  // empty while no request is active
 };
 
 }  // namespace cressrill::router
--- a/router/instance.cpp
+++ b/router/instance.cpp
@@ -14,7 +14,7 @@
             return host_.serve(request, response);
           },
           {config.max_head_bytes, config.max_body_bytes}, config.max_connections) {
-  server_.set_write_stall_timeout(config.stall_timeout);
+  server_.set_write_stall_timeout(config.write_stall_timeout);
   server_.set_error_body_formatter([this](int status, http::MessageError error) {
     counters_.count_refusal(status);
     return core::error_body(status,
--- a/router/protocol.h
+++ b/router/protocol.h
@@ -106,6 +106,8 @@
   virtual FinalResponse final_response(RequestOutcome outcome, bool late, Nanos retry_after) = 0;
   // The text of the request that releases the KV cache that an attempt left at a worker. worker: its address.
   virtual std::string release_request(int attempt, std::string_view worker) = 0;
+  // Size of the request as it is kept for further attempts.
+  virtual std::size_t request_bytes() const { return 0; }
   // Frees the request's body, which no further attempt will need.
   virtual void drop_body() = 0;
 };
--- a/tests/client_connection_test.cpp
+++ b/tests/client_connection_test.cpp
@@ -193,6 +193,43 @@
   CHECK(fixture.node->host().active_requests() == 0);
 }
 
+// Guards against attempts for a client that has gone behind bytes that nobody reads (review/10).
+TEST_CASE("a client that sends much at once and closes its connection is noticed at once") {
+  for (const bool within_limit : {true, false}) {
+    CAPTURE(within_limit);
+    PlatformFixture fixture(1, 1);
+    fixture.worker("reader-0").script = {{"", ScriptedResponse::Finish::keep_alive, 600 * kMs, true}};
+    RawClient client(fixture.node->address());
+    client.write(PlatformFixture::request("a1"));
+    fixture.run_for(20);
+    REQUIRE(fixture.count_requests("POST") == 1);
+    const std::string further = PlatformFixture::request("b1", PlatformFixture::request_body(4'000));
+    for (int i = 0; i < (within_limit ? 20 : 300); ++i) {
+      client.write(further);
+      fixture.run_for(1);
+    }
+    if (within_limit) client.close();
+    fixture.run_for(100);
+    CHECK(fixture.node->host().active_requests() == 0);
+    fixture.run_for(2000);
+    CHECK(fixture.count_requests("POST") == 1);
+  }
+}
+
+// Guards against a request that was read behind a stream that breaks, and then closed in order (review/8).
+TEST_CASE("a request read behind a stream that breaks: its client gets a reset, and it is not sent on") {
+  PlatformFixture fixture(1, 1);
+  fixture.worker("writer-0").script = {{FakeWorker::stream_head() + FakeWorker::chunked(FakeWorker::event(0)),
+                                        ScriptedResponse::Finish::reset}};
+  RawClient client(fixture.node->address());
+  client.write(PlatformFixture::request("a1") + PlatformFixture::request("b1"));
+  fixture.run_for(1000);
+  client.read();
+  CHECK(client.reset());
+  CHECK(!is_complete_stream(client.text()));
+  CHECK(fixture.count_requests("POST") == 2);  // prefill and decode of a1
+}
+
 TEST_CASE("a client that reads nothing does not delay the events of another") {
   PlatformFixture fixture(1, 2);
   stream_more_than_buffers(fixture);
