--- a/http/server.cpp
+++ b/http/server.cpp
@@ -17,6 +17,7 @@
 // second limit.
 constexpr std::size_t kMaxUnreadBytes = 24 * 1024;
 constexpr std::size_t kMaxReadAheadBytes = 1024 * 1024;
+constexpr std::size_t kReadAheadBegunBytes = 8 * 1024;  // more than the first read of a request leaves
 // What a connection takes beside its buffers: its coroutines, its parser, its registration.
 constexpr std::size_t kConnectionBytes = 3 * 1024;
 
@@ -43,8 +44,10 @@
   return names[static_cast<int>(end)];
 }
 
+// Once reading ahead has begun, it goes on with any byte: TCP advertises no room before a whole segment fits.
 io::Task<bool> ResponseWriter::wait_for_client_close() {
-  return socket_.wait_for_peer_close_or_unread(kMaxUnreadBytes);
+  const bool is_reading_ahead = reader_ != nullptr && reader_->unparsed_bytes() >= kReadAheadBegunBytes;
+  return socket_.wait_for_peer_close_or_unread(is_reading_ahead ? 1 : kMaxUnreadBytes);
 }
 
 io::Task<bool> ResponseWriter::read_ahead() {
