Requests without a budget are read as before: large buffers, the announced length

Cause: the read buffer of 16 KiB and the reservation of twice what has come were for readers with an account, but held for all requests.

Change: a request that is read without an account has the buffer of 64 KiB and the reservation that it had.

--- a/http/message.cpp
+++ b/http/message.cpp
@@ -6,6 +6,7 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/status.hpp>
 #include <cstring>
+#include <limits>
 #include <variant>
 
 namespace cressrill::http {
@@ -171,6 +172,7 @@
 // Buffers start small, as many streams are idle most of the time, and grow while reads fill them.
 constexpr std::size_t kInitialBufferBytes = 4 * 1024;
 constexpr std::size_t kMaxBufferBytes = 16 * 1024;
+constexpr std::size_t kMaxUnaccountedBufferBytes = 64 * 1024;  // of requests whose memory has no budget
 constexpr std::size_t kFirstBodyBytes = 16 * 1024;  // reserved before that much has come, if it is announced
 constexpr std::size_t kMaxPiecesPerRead = 64;       // of a body: each takes memory beside its bytes
 
@@ -197,6 +199,23 @@
   memory::Account* account{};  // null: growth is not limited
   memory::Charge charge;       // of the buffer and of the head that is being read
 
+  bool is_unaccounted_request() const { return kind == MessageKind::request && account == nullptr; }
+  std::size_t max_buffer_bytes() const {
+    return is_unaccounted_request() ? kMaxUnaccountedBufferBytes : kMaxBufferBytes;
+  }
+  // How much to reserve for a body that has grown to `new_size`, more than its capacity. Of the announced length at
+  // most twice what has come, as a peer may announce more than it sends; without a budget, all of it once any
+  // data have come.
+  std::size_t body_reserve(const std::string& body, std::size_t new_size) const {
+    const std::size_t length = parser->length();
+    if (is_unaccounted_request()) {
+      const std::size_t announced = std::min(
+          length, body.empty() ? kMaxUnaccountedBufferBytes : std::numeric_limits<std::size_t>::max());
+      return std::max(body.capacity() * 2, announced) + (new_size - body.size()) + kReadPaddingBytes;
+    }
+    const std::size_t doubled = std::max(2 * new_size, length > 0 ? kFirstBodyBytes : 0);
+    return (length >= new_size ? std::min(length, doubled) : doubled) + kReadPaddingBytes;
+  }
   // Waits until the account may grow by that many bytes; returns false if it must not.
   io::Task<bool> wait_for_growth(std::size_t bytes) {
     for (;;) {
@@ -256,8 +275,8 @@
       consumed = 0;
       size = 0;
       // A read that filled the buffer suggests that much more data follows.
-      if (last_read_filled && capacity < kMaxBufferBytes && parser->head_done())
-        grow(std::min(kMaxBufferBytes, capacity * 4));
+      if (last_read_filled && capacity < max_buffer_bytes() && parser->head_done())
+        grow(std::min(max_buffer_bytes(), capacity * 4));
     } else if (consumed > 0) {
       std::memmove(buffer.get(), buffer.get() + consumed, size - consumed);
       size -= consumed;
@@ -389,10 +408,9 @@
   for (const std::string_view piece : pieces) {
     const std::size_t size = out.size() + piece.size();
     if (size > state_->limits.body_bytes) co_return MessageError::body_too_large;
-    if (size + kReadPaddingBytes > out.capacity()) {
-      // The announced length, but at most twice what has come: a peer may announce more than it sends.
-      const std::size_t doubled = std::max(2 * size, length > 0 ? kFirstBodyBytes : 0);
-      const std::size_t wanted = (length >= size ? std::min(length, doubled) : doubled) + kReadPaddingBytes;
+    const std::size_t needed = state_->is_unaccounted_request() ? size : size + kReadPaddingBytes;
+    if (needed > out.capacity()) {
+      const std::size_t wanted = state_->body_reserve(out, size);
       if (!state_->may_grow_now(wanted)) {
         const bool granted = co_await state_->wait_for_growth(wanted);
         if (!granted) co_return MessageError::no_capacity;
